Reload on SIGHUP: follow the directory at its new address, keep the list and number

Checked by reading: directory.Client was itself the handler of its one socket, so a second socket's events could not be told from the first's, and parse took any answer whose id was among the last 32, answered or not; a lost socket was opened again only after 1 s.

Now each socket is a value with its own pending queries (ids not to be guessed, each answered once), a reload swaps it and asks at once, and the file is read and checked off the loop. SIGHUP and SIGTERM have a channel each, so repeated reloads can't crowd out a stop. What else changed in the file is logged as needing a restart.

--- a/cmd/crankhold/config.go
+++ b/cmd/crankhold/config.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net/netip"
 	"os"
+	"reflect"
 	"strconv"
 	"time"
 
@@ -98,6 +99,23 @@
 	return &c, nil
 }
 
+// needsRestart names what fresh changes and a reload does not take over. The seed and the start's list
+// count at a start alone.
+func (c *config) needsRestart(fresh *config) (changed []string) {
+	for _, part := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == fresh.Name}, {"listen", c.Listen == fresh.Listen}, {"limits", c.Limits == fresh.Limits},
+		{"settings", reflect.DeepEqual(c.module, fresh.module) && reflect.DeepEqual(c.network, fresh.network)},
+	} {
+		if !part.same {
+			changed = append(changed, part.name)
+		}
+	}
+	return changed
+}
+
 // orDefault sets what is absent or no use.
 func orDefault[T int | float64](v *T, to T) {
 	if *v <= 0 {
--- a/cmd/crankhold/config_test.go
+++ b/cmd/crankhold/config_test.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
 	"strings"
@@ -46,3 +47,27 @@
 		t.Error("no file, no error")
 	}
 }
+
+// Guards a reload against taking over half of a file: what needs a restart is named.
+func TestReloadNamesWhatNeedsARestart(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "config.json")
+	c, err := readText(path, goodConfig)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, to := range []struct{ old, new, want string }{
+		{"127.0.0.1:1053", "127.0.0.2:1053", "[]"},
+		{`"8c1f30d27a5be964"`, `"1"`, "[]"},
+		{"127.0.0.1:10080", "127.0.0.2:10080", "[listen]"},
+		{`"sockets":1024`, `"sockets":512`, "[limits]"},
+		{`"deadlineMs":3000`, `"deadlineMs":2000`, "[settings]"},
+	} {
+		fresh, err := readText(path, strings.Replace(goodConfig, to.old, to.new, 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := fmt.Sprint(c.needsRestart(fresh)); got != to.want {
+			t.Errorf("%s needs a restart for %s, want %s", to.new, got, to.want)
+		}
+	}
+}
--- a/cmd/crankhold/main.go
+++ b/cmd/crankhold/main.go
@@ -37,7 +37,7 @@
 	log.SetFlags(log.Ltime | log.Lmicroseconds)
 	c, err := readConfig(os.Getenv)
 	if err == nil {
-		err = serve(c)
+		err = serve(c, func() (*config, error) { return readConfig(os.Getenv) })
 	}
 	if err != nil {
 		fmt.Fprintf(os.Stderr, "crankhold: %v\n", err)
@@ -45,8 +45,15 @@
 	}
 }
 
-// serve runs the function router until a signal ends it.
-func serve(c *config) error {
+// serve runs the function router until a signal ends it. On SIGHUP it takes over what reread returns.
+func serve(c *config, reread func() (*config, error)) error {
+	// Two channels, so that SIGHUPs in a row can't crowd out a SIGTERM. One that comes while a file is
+	// being read has it read once more; further ones add nothing.
+	signals, hangups := make(chan os.Signal, 4), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	defer signal.Stop(hangups)
 	runtime.GOMAXPROCS(procs)
 	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
 	module, err := policy.New(c.module, c.seed)
@@ -67,8 +74,8 @@
 			return lp.Dial("tcp", addr, timeout, h)
 		}}, core)
 	core.Use(pool)
-	names := directory.New(
-		func(h loop.Dialled) directory.Line { return lp.Dial("udp", c.Names, time.Second, h) },
+	names := directory.New(c.Names,
+		func(addr string, h loop.Dialled) directory.Line { return lp.Dial("udp", addr, time.Second, h) },
 		func(list []directory.Worker) { follow(lp, core, pool, c.network.FailureDomains, list) })
 	if err := names.Start(c.Known); err != nil {
 		return err
@@ -86,10 +93,27 @@
 	}
 	log.Printf("event=started name=%s listen=%s", c.Name, c.Listen)
 
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		for {
+			select {
+			case <-hangups: // the file is read and checked here, so that calls go on meanwhile
+				fresh, err := reread()
+				lp.Post(func() { reload(lp, names, c, fresh, err) })
+			case <-ended:
+				return
+			}
+		}
+	}()
 	go func() {
-		for s := range signals {
+		for {
+			var s os.Signal
+			select {
+			case s = <-signals:
+			case <-ended:
+				return
+			}
 			lp.Post(func() {
 				printCounters(&core.Count, names, hooks)
 				if s != syscall.SIGUSR1 && stopping == 0 {
@@ -127,6 +151,20 @@
 	return nil
 }
 
+// reload takes over what can change while the program runs: the directory's address. A file that can't
+// be used changes nothing.
+func reload(lp *loop.Loop, names *directory.Client, c, fresh *config, err error) {
+	if err != nil {
+		log.Printf("event=reload_failed err=%q", err)
+		return
+	}
+	log.Printf("event=reloaded names=%s", fresh.Names)
+	names.Move(lp.Now(), fresh.Names)
+	if changed := c.needsRestart(fresh); len(changed) > 0 {
+		log.Printf("event=restart_needed settings=%q", changed)
+	}
+}
+
 // follow hands a list of workers to those who need it.
 func follow(lp *loop.Loop, core *router.Core, pool *resp.Pool, zones []string, list []directory.Worker) {
 	l := policy.WorkerList{Kind: policy.ListWhole}
--- a/cmd/crankhold/serve_test.go
+++ b/cmd/crankhold/serve_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"net"
+	"os"
 	"path/filepath"
 	"strconv"
 	"strings"
@@ -71,8 +72,9 @@
 	c.Write(b)
 }
 
-// From socket to socket: a call is answered, also one that comes on an open connection after
-// SIGTERM, and the program then ends by itself and without an error.
+// From socket to socket: a call is answered, also after SIGHUP with a file that moves the directory, with
+// one that can't be used, and on an open connection after SIGTERM; the program then ends by itself and
+// without an error.
 func TestServesAndStops(t *testing.T) {
 	addr, runs := worker(t)
 	names, err := net.ListenPacket("udp", "127.0.0.1:0") // a directory that never answers
@@ -94,7 +96,29 @@
 		t.Fatal(err)
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- serve(cfg) }()
+	reread := make(chan error, 1)
+	go func() {
+		ended <- serve(cfg, func() (*config, error) {
+			fresh, err := readConfig(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] })
+			reread <- err
+			return fresh, err
+		})
+	}()
+	moved, err := net.ListenPacket("udp", "127.0.0.1:0") // the directory at its next address
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer moved.Close()
+	moved.SetDeadline(time.Now().Add(20 * time.Second))
+	hangUp := func(text string, wantErr bool) {
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		syscall.Kill(syscall.Getpid(), syscall.SIGHUP)
+		if err := <-reread; (err != nil) != wantErr {
+			t.Errorf("read again: %v", err)
+		}
+	}
 	var conn net.Conn
 	for conn == nil { // until it listens
 		select {
@@ -105,8 +129,16 @@
 		}
 	}
 	conn.SetDeadline(time.Now().Add(20 * time.Second))
-	for i, body := range []string{"before", "after"} {
-		if body == "after" {
+	for i, body := range []string{"before", "moved", "unread", "after"} {
+		switch body {
+		case "moved":
+			hangUp(strings.Replace(text, names.LocalAddr().String(), moved.LocalAddr().String(), 1), false)
+			if _, _, err := moved.ReadFrom(make([]byte, 512)); err != nil {
+				t.Fatalf("the new directory was not asked: %v", err)
+			}
+		case "unread":
+			hangUp(text[:len(text)/2], true)
+		case "after":
 			syscall.Kill(syscall.Getpid(), syscall.SIGTERM)
 		}
 		call(conn, uint32(i+1), fmt.Sprintf("%016x", i), body)
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -3,9 +3,11 @@
 package directory
 
 import (
+	"errors"
 	"fmt"
 	"hash/fnv"
 	"log"
+	"math/rand/v2"
 	"net/netip"
 	"slices"
 	"strconv"
@@ -19,8 +21,8 @@
 const (
 	serviceName = "_back._tcp.pool.lan"
 	askEvery    = 200 * time.Millisecond // an event counts as told 1.5 s after it happened, heard or not
-	redialAfter = time.Second
-	lateQueries = 32 // an answer to one of so many last queries is taken
+	redialAfter = 200 * time.Millisecond // a lost socket must not add to a silence of the directory's
+	lateQueries = 32                     // an answer to one of so many last queries is taken, once
 )
 
 // Worker is one worker as the directory knows it.
@@ -73,24 +75,46 @@
 
 // Client asks the directory for the list, over and over.
 type Client struct {
-	dial    func(h loop.Dialled) Line
+	dial    func(addr string, h loop.Dialled) Line
 	changed func([]Worker)
-	line    Line
-	up      bool
-	id      uint16
-	asked   time.Duration
+	addr    string
+	sock    *socket
 	next    time.Duration
 	now     time.Duration
 	serial  uint32
 	workers map[string]Worker
-	silent  bool
+	silent  bool   // what goes wrong has been logged since the last good answer
 	Asked   uint64 // queries sent
 	Heard   uint64 // answers that could be read
 }
 
-// New returns a Client; changed is called with every list that is newer than the one before.
-func New(dial func(h loop.Dialled) Line, changed func([]Worker)) *Client {
-	return &Client{dial: dial, changed: changed, workers: map[string]Worker{}}
+// socket is one socket to the directory. Each has queries of its own: what comes late on one that was
+// given up, from a directory at an earlier address, answers nothing.
+type socket struct {
+	client  *Client
+	line    Line
+	up      bool
+	pending []uint16 // queries that have had no answer, the last one at the end
+}
+
+// New returns a Client for the directory at addr; changed is called with every list that is newer than
+// the one before.
+func New(addr string, dial func(addr string, h loop.Dialled) Line, changed func([]Worker)) *Client {
+	return &Client{addr: addr, dial: dial, changed: changed, workers: map[string]Worker{}}
+}
+
+// Move goes over to a directory at another address, which is asked at once. The list and its number
+// stay: what the new one has to tell goes on from there.
+func (c *Client) Move(now time.Duration, addr string) {
+	if addr == c.addr {
+		return
+	}
+	c.addr, c.next, c.silent = addr, now, false
+	if c.sock != nil {
+		old := c.sock
+		c.sock = nil
+		old.line.Close()
+	}
 }
 
 // Start takes in the start's list.
@@ -143,57 +167,93 @@
 	if now < c.next {
 		return c.next
 	}
-	if c.line == nil {
+	if c.sock == nil {
 		c.next = now + redialAfter
-		c.line = c.dial(c)
+		s := &socket{client: c}
+		c.sock = s
+		s.line = c.dial(c.addr, s)
 		return c.next
 	}
-	if c.next = now + askEvery; c.up {
-		c.id++
-		c.Asked++
-		c.line.Write(query(c.id, serviceName))
+	if c.next = now + askEvery; c.sock.up {
+		c.sock.ask()
 	}
 	return c.next
 }
 
+// ask sends a query under an id that can't be guessed and that no other pending one has.
+func (s *socket) ask() {
+	id := uint16(rand.Uint32())
+	for slices.Contains(s.pending, id) {
+		id++
+	}
+	s.pending = append(s.pending[max(0, len(s.pending)+1-lateQueries):], id)
+	s.client.Asked++
+	s.line.Write(query(id, serviceName))
+}
+
 // Opened is the end of the dial.
-func (c *Client) Opened(err error) {
-	if c.up = err == nil; !c.up {
-		c.Closed(err)
-		return
+func (s *socket) Opened(err error) {
+	if s.up = err == nil; !s.up {
+		s.Closed(err)
+	} else if s.client.sock == s {
+		s.client.next = s.client.now
 	}
-	c.next = c.now
 }
 
 // Closed is the end of the socket; another is opened a little later.
-func (c *Client) Closed(err error) {
-	log.Printf("event=directory_lost err=%q", fmt.Sprint(err))
-	c.line, c.up, c.next = nil, false, c.now+redialAfter
+func (s *socket) Closed(err error) {
+	c := s.client
+	if c.sock != s {
+		return // left behind by Move
+	}
+	c.complain("directory_lost", err)
+	c.sock, c.next = nil, c.now+redialAfter
+}
+
+// complain logs the first thing that goes wrong after a good answer.
+func (c *Client) complain(event string, err error) {
+	if !c.silent {
+		log.Printf("event=%s addr=%s err=%q", event, c.addr, fmt.Sprint(err))
+	}
+	c.silent = true
 }
 
 // Data takes in an answer. Lists are whole, so a lost or overtaken answer does no harm: one that is
 // older than what we hold is dropped. A directory slower than askEvery answers a query that is no
 // longer the last; taking only the last one's answer would then take none.
-func (c *Client) Data(b []byte) {
-	r, err := parse(b, c.id, lateQueries)
-	if err != nil {
-		if !c.silent {
-			log.Printf("event=directory_answer_unread err=%q", err)
+func (s *socket) Data(b []byte) {
+	c := s.client
+	if c.sock != s {
+		return
+	}
+	id, r, err := parse(b)
+	if err == nil {
+		i := slices.Index(s.pending, id)
+		if i < 0 {
+			err = errors.New("not the answer to a query of ours")
+		} else {
+			s.pending = slices.Delete(s.pending, i, i+1)
+			err = c.take(r)
 		}
-		c.silent = true
+	}
+	if err != nil {
+		c.complain("directory_answer_unread", err)
 		return
 	}
 	c.silent = false
 	c.Heard++
+}
+
+// take follows a list if it is newer than the one held, and whole.
+func (c *Client) take(r reply) error {
 	if r.serial <= c.serial {
-		return
+		return nil
 	}
 	workers := map[string]Worker{}
 	for _, s := range r.srv {
 		addr, ok := r.addrs[s.target]
 		if !ok {
-			log.Printf("event=directory_answer_unread err=%q", "no address for "+s.target)
-			return
+			return fmt.Errorf("no address for %s", s.target)
 		}
 		w := Worker{Addr: netip.AddrPortFrom(addr, s.port).String(), State: policy.Ready, Weight: float64(s.weight) / 10}
 		w.Name, w.Zone, _ = strings.Cut(s.target, ".")
@@ -215,4 +275,5 @@
 	}
 	c.serial, c.workers = r.serial, workers
 	c.tell()
+	return nil
 }
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -47,62 +47,146 @@
 	return b
 }
 
-func newClient(t rapid.TB) (*Client, *standin.Line, *[]Worker) {
-	l, list := &standin.Line{}, &[]Worker{}
-	c := New(func(loop.Dialled) Line { return l }, func(w []Worker) { *list = w })
+// desk stands in for the sockets to the directory and keeps the list.
+type desk struct {
+	*Client
+	t     rapid.TB
+	lines []*standin.Line
+	addrs []string
+	list  []Worker
+}
+
+func newDesk(t rapid.TB) *desk {
+	d := &desk{t: t}
+	d.Client = New("old", func(addr string, _ loop.Dialled) Line {
+		d.lines, d.addrs = append(d.lines, &standin.Line{}), append(d.addrs, addr)
+		return d.lines[len(d.lines)-1]
+	}, func(w []Worker) { d.list = w })
 	var known Known
 	known.Offset = 3
 	known.Batch = make([]event, 1)
 	known.Batch[0].Topology.Complete = true
 	known.Batch[0].Topology.Members = []member{{ID: "s-9", HostPort: "10.1.0.9:10080", Phase: "Ready", Size: 4}}
-	if err := c.Start(known); err != nil {
+	if err := d.Start(known); err != nil {
 		t.Fatal(err)
 	}
-	c.Turn(time.Hour)
-	c.Opened(nil)
-	c.Turn(time.Hour)
-	return c, l, list
+	d.Turn(time.Hour)
+	d.sock.Opened(nil)
+	return d
+}
+
+// ask has the client ask, and returns the query's id.
+func (d *desk) ask() uint16 {
+	l := d.lines[len(d.lines)-1]
+	l.Wrote.Reset()
+	d.Turn(d.next)
+	b := l.Wrote.Bytes()
+	if len(b) < 2 || string(b) != string(query(binary.BigEndian.Uint16(b), serviceName)) {
+		d.t.Fatalf("asked %x", b)
+	}
+	return binary.BigEndian.Uint16(b)
 }
 
 func TestListIsFollowed(t *testing.T) {
-	c, l, list := newClient(t)
-	if len(*list) != 1 || l.Wrote.Len() == 0 || string(l.Wrote.Bytes()) != string(query(1, serviceName)) {
-		t.Fatalf("list %v, asked %x", *list, l.Wrote.Bytes())
+	d := newDesk(t)
+	if len(d.list) != 1 {
+		t.Fatalf("list %v", d.list)
 	}
-	c.Data(answer(1, 4, 0, 1))
+	d.sock.Data(answer(d.ask(), 4, 0, 1))
 	want := []Worker{{Name: "s-0", Addr: "10.1.0.0:10080", Zone: "east", State: policy.Ready, Weight: 4, Cell: 2, Started: 5},
 		{Name: "s-1", Addr: "10.1.0.1:10080", Zone: "east", State: policy.Draining, Weight: 4, Cell: 2, Started: 5}}
-	if fmt.Sprint(*list) != fmt.Sprint(want) {
-		t.Fatalf("list %v, want %v", *list, want)
+	if fmt.Sprint(d.list) != fmt.Sprint(want) {
+		t.Fatalf("list %v, want %v", d.list, want)
 	}
-	c.Data(answer(1, 3))    // older than what is held
-	c.Data(answer(7, 9, 0)) // not to our query
-	cut := answer(1, 9, 0)
-	cut[2] |= 2
-	c.Data(cut) // not whole
-	if fmt.Sprint(*list) != fmt.Sprint(want) {
-		t.Errorf("list became %v", *list)
+	// Whatever is wrong with an answer, it changes nothing.
+	d.sock.Data(answer(d.ask(), 3)) // older than what is held
+	id := d.ask()
+	d.sock.Data(answer(id+1, 9, 0)) // not to a query of ours
+	answered := d.ask()
+	d.sock.Data(answer(answered, 4, 0, 1))
+	d.sock.Data(answer(answered, 9, 0)) // to one that has been answered
+	for name, spoil := range map[string]func(b []byte) []byte{
+		"truncated": func(b []byte) []byte { b[2] |= 2; return b },
+		"failed":    func(b []byte) []byte { b[3] |= 2; return b },
+		"a query":   func(b []byte) []byte { b[2] &^= 0x80; return b },
+		"other":     func(b []byte) []byte { b[13] = 'x'; return b },
+	} {
+		if d.sock.Data(spoil(answer(d.ask(), 9, 0))); fmt.Sprint(d.list) != fmt.Sprint(want) {
+			t.Errorf("%s: list became %v", name, d.list)
+		}
+	}
+	whole := answer(0, 9, 0)
+	for cut := range whole {
+		id := d.ask()
+		b := answer(id, 9, 0)[:cut]
+		if d.sock.Data(b); fmt.Sprint(d.list) != fmt.Sprint(want) {
+			t.Fatalf("cut at %d of %d: list became %v", cut, len(whole), d.list)
+		}
 	}
+	late := d.ask()
 	for range 3 { // an answer that comes after further queries counts all the same
-		c.Turn(c.next)
+		d.ask()
 	}
-	if c.Data(answer(1, 5, 0)); c.id < 3 || len(*list) != 1 {
-		t.Errorf("after a late answer to query 1 of %d the list is %v", c.id, *list)
+	if d.sock.Data(answer(late, 5, 0)); len(d.list) != 1 {
+		t.Errorf("after a late answer the list is %v", d.list)
 	}
-	c.Closed(errors.New("refused")) // the socket is opened again, and asked
-	for now := time.Hour; now < time.Hour+3*time.Second; now += askEvery {
-		if c.Turn(now); c.line != nil && !c.up {
-			c.Opened(nil)
-		}
+	if d.sock.Closed(errors.New("refused")); d.sock != nil || d.next > d.now+redialAfter {
+		t.Error("a lost socket isn't opened again at once")
+	}
+	d.Turn(d.next)
+	d.sock.Opened(nil)
+	if d.sock.Data(answer(d.ask(), 6, 0, 0)); len(d.list) != 2 {
+		t.Errorf("after a new socket the list is %v", d.list)
 	}
-	if c.Asked < 5 {
-		t.Errorf("asked %d times", c.Asked)
+}
+
+// Guards a reload: the new directory is asked at once, by its address, with the list and its number
+// kept; nothing that comes late on a socket to the old one counts, in whatever order dials and closes end.
+func TestDirectoryMoves(t *testing.T) {
+	for _, up := range []bool{true, false} { // the old socket is open, or still being dialled
+		d := newDesk(t)
+		if !up {
+			d.sock.Closed(errors.New("refused"))
+			d.Turn(d.next)
+		}
+		id, old, line := uint16(0), d.sock, d.lines[len(d.lines)-1]
+		if up {
+			id = d.ask()
+		}
+		d.Move(d.now+time.Millisecond, "new")
+		d.Turn(d.now + time.Millisecond)
+		if !line.HasClosed || d.addrs[len(d.addrs)-1] != "new" || d.sock == old {
+			t.Fatalf("dialled %v, old closed %v", d.addrs, line.HasClosed)
+		}
+		fresh := d.sock
+		old.Opened(nil)
+		old.Data(answer(id, 8, 0, 0))
+		old.Closed(errors.New("late"))
+		if d.sock != fresh || len(d.list) != 1 || d.serial != 3 {
+			t.Fatalf("the old socket changed the list to %v", d.list)
+		}
+		fresh.Opened(nil)
+		if d.next > d.now {
+			t.Error("the new directory isn't asked at once")
+		}
+		fresh.Data(answer(d.ask(), 2, 0, 0)) // older than what is held
+		if d.serial != 3 {
+			t.Errorf("the number fell to %d", d.serial)
+		}
+		if fresh.Data(answer(d.ask(), 4, 0, 0)); len(d.list) != 2 {
+			t.Errorf("list %v", d.list)
+		}
+		dials := len(d.addrs)
+		d.Move(d.now, "new") // a repeated signal changes nothing
+		if d.Turn(d.now); d.sock != fresh || len(d.addrs) != dials {
+			t.Error("the same address was dialled again")
+		}
 	}
 }
 
 func TestAnyBytesAreSurvived(t *testing.T) {
 	loops := append(answer(1, 9)[:12], 0xc0, 12, 0, 1, 0, 1) // a name that points at itself
-	if _, err := parse(loops, 1, 1); err == nil {
+	if _, _, err := parse(loops); err == nil {
 		t.Error("a loop of pointers was read")
 	}
 	if _, _, err := name([]byte(strings.Repeat("\x3f"+strings.Repeat("x", 63), 5)+"\x00"), 0); err == nil {
@@ -113,7 +197,7 @@
 		for range rapid.IntRange(1, 5).Draw(t, "changes") {
 			b[rapid.IntRange(2, len(b)-1).Draw(t, "at")] = rapid.Byte().Draw(t, "to")
 		}
-		r, err := parse(b[:rapid.IntRange(0, len(b)).Draw(t, "cut")], 1, 1)
+		_, r, err := parse(b[:rapid.IntRange(0, len(b)).Draw(t, "cut")])
 		if err == nil && len(r.srv) > 3 {
 			t.Fatalf("read %d services", len(r.srv))
 		}
--- a/internal/directory/dns.go
+++ b/internal/directory/dns.go
@@ -48,14 +48,20 @@
 	target                 string
 }
 
-// parse reads the answer to query id, or to one of the late queries before it.
-func parse(b []byte, id, late uint16) (reply, error) {
-	r := reply{addrs: map[string]netip.Addr{}, texts: map[string][]string{}}
+// parse reads an answer to one of our queries and tells the query's id.
+func parse(b []byte) (id uint16, r reply, err error) {
 	if len(b) < 12 {
-		return r, errFormat
+		return 0, r, errFormat
 	}
-	if id-binary.BigEndian.Uint16(b) >= late || b[2]&0x80 == 0 {
-		return r, errors.New("not the answer to a query of ours")
+	id = binary.BigEndian.Uint16(b)
+	r, err = parseReply(b)
+	return id, r, err
+}
+
+func parseReply(b []byte) (reply, error) {
+	r := reply{addrs: map[string]netip.Addr{}, texts: map[string][]string{}}
+	if b[2]&0x80 == 0 {
+		return r, errors.New("not an answer")
 	}
 	if b[2]&0x02 != 0 {
 		return r, errors.New("answer is truncated")
@@ -65,11 +71,16 @@
 	}
 	at := 12
 	for range binary.BigEndian.Uint16(b[4:]) {
-		_, next, err := name(b, at)
+		asked, next, err := name(b, at)
 		if err != nil {
 			return r, err
 		}
-		at = next + 4
+		if at = next + 4; len(b) < at {
+			return r, errFormat
+		}
+		if asked != serviceName || binary.BigEndian.Uint16(b[next:]) != typeSRV {
+			return r, errors.New("answer to another question")
+		}
 	}
 	records := 0
 	for _, off := range []int{6, 8, 10} {
@@ -93,7 +104,7 @@
 			return r, errFormat
 		}
 		switch data := b[from:at]; {
-		case typ == typeSRV && size > 6:
+		case typ == typeSRV && size > 6 && owner == serviceName:
 			target, _, err := name(b, from+6)
 			if err != nil {
 				return r, err
