Leave worker connections that are cut off, and send an id over each connection once

Ruled out: a close on mere silence. Work that takes 28 times as long is silent too, so a connection only ends when it owes a sign of life that others to the same worker have given since.

--- a/cmd/crankhold/config.go
+++ b/cmd/crankhold/config.go
@@ -99,6 +99,18 @@
 	return &c, nil
 }
 
+// ownFiles is how many descriptors are kept for what is neither a client nor a worker: pollers,
+// listeners, the directory, notices, files, and an accepted connection that is yet to be turned away.
+const ownFiles = 32
+
+// clientConns is how many accepted connections there may be: a third of the descriptors.
+func (c *config) clientConns() int { return c.Limits.Sockets / 3 }
+
+// workerConns is how many connections to workers there may be: what the clients' third leaves.
+func (c *config) workerConns() int {
+	return c.Limits.Sockets - c.clientConns() - min(ownFiles, c.Limits.Sockets/4)
+}
+
 // needsRestart names what fresh changes and a reload does not take over. The seed and the start's list
 // count at a start alone.
 func (c *config) needsRestart(fresh *config) (changed []string) {
--- a/cmd/crankhold/main.go
+++ b/cmd/crankhold/main.go
@@ -64,12 +64,12 @@
 	for _, k := range c.network.Classes {
 		classes = append(classes, k.Name)
 	}
-	lp := loop.New(loop.Config{MaxAccepted: c.Limits.Sockets / 3, MaxFiles: c.Limits.Sockets})
+	lp := loop.New(loop.Config{MaxAccepted: c.clientConns(), MaxFiles: c.Limits.Sockets})
 	core := router.New(module, router.Limits{MaxOpen: c.network.Limits.MaxOpen, MaxBytes: maxBodies,
 		MaxAttempts: c.module.MaxAttempts, OrderTimeout: c.module.OrderTimeout, ProbeTimeout: probeTimeout})
 	pool := resp.New(resp.Config{Classes: classes, ReportFields: c.module.ReportFields,
 		DialTimeout: millis(c.network.Limits.DialTimeoutMs), KeepAlive: millis(c.network.Limits.KeepaliveMs),
-		PerConn: c.network.Limits.StreamsPerConn,
+		PerConn: c.network.Limits.StreamsPerConn, MaxConns: c.workerConns(),
 		Dial: func(addr string, timeout time.Duration, h loop.Dialled) resp.Line {
 			return lp.Dial("tcp", addr, timeout, h)
 		}}, core)
@@ -123,15 +123,18 @@
 			})
 		}
 	}()
-	swept := time.Duration(0)
+	swept, looked := time.Duration(0), time.Duration(0)
 	lp.Run(func(now time.Duration) {
 		core.SetNow(now)
 		pool.SetNow(now)
 	}, func(now time.Duration) time.Duration {
 		next := min(core.Turn(now), names.Turn(now), hooks.turn(now))
+		if now-looked >= resp.SweepEvery {
+			looked = now
+			pool.Sweep(now)
+		}
 		if now-swept >= time.Second {
 			swept = now
-			pool.Sweep(now)
 			hooks.sweep(now)
 		}
 		if stopping > 0 {
--- a/internal/resp/parse.go
+++ b/internal/resp/parse.go
@@ -9,9 +9,10 @@
 )
 
 const (
-	maxBulk  = 16<<10 + 64 // a body, the longest bulk string there is
-	maxWords = 8           // an answer has four
-	maxLine  = 12          // "*4" or "$16384" and room to spare
+	maxBulk  = 16<<10 + 64     // a body, the longest bulk string there is
+	maxSize  = maxBulk + 4<<10 // a whole answer
+	maxWords = 8               // an answer has four
+	maxLine  = 12              // "*4" or "$16384" and room to spare
 )
 
 // errSyntax says that a worker broke the protocol.
@@ -30,6 +31,9 @@
 		if err != nil || from == 0 {
 			return nil, 0, err
 		}
+		if from+size > maxSize {
+			return nil, 0, errSyntax
+		}
 		if len(b) < from+size+2 {
 			return nil, 0, nil
 		}
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -4,9 +4,9 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"log"
-	"math"
 	"slices"
 	"strconv"
 	"time"
@@ -17,12 +17,27 @@
 )
 
 const (
-	maxConns   = 10               // to one worker
-	maxStale   = 1024             // given-up calls whose answers may still come, on one connection
-	staleFor   = 15 * time.Second // a given-up call's answer is no longer expected after this
-	idleMargin = 0.8              // part of the told keep-alive after which we close an idle connection
+	maxConns   = 10  // to one worker
+	idleMargin = 0.8 // part of the told keep-alive after which we close an idle connection
+
+	// A connection with calls out on which no whole answer came for quietAfter is asked for a sign of
+	// life and takes nothing new meanwhile. It ends once it has given none for deadAfter though the
+	// worker has answered on another one since.
+	quietAfter = 300 * time.Millisecond
+	deadAfter  = 500 * time.Millisecond
+	stuckAfter = time.Second // the rest of an answer that has begun is not waited for any longer
+
+	partKept = 4 << 10 // a larger buffer is let go once it is empty
+)
+
+var (
+	errStuck  = errors.New("answer does not go on")
+	errSilent = errors.New("connection is silent while others to the worker are not")
 )
 
+// SweepEvery is how often Sweep is to be called.
+const SweepEvery = 100 * time.Millisecond
+
 // Sink takes what came of calls, orders and probes; a router.Core is one.
 type Sink interface {
 	AttemptEnded(a router.Attempt, o policy.Outcome, n policy.Note, body []byte, report []float64)
@@ -43,6 +58,7 @@
 	DialTimeout  time.Duration
 	KeepAlive    time.Duration // a worker closes a connection that is idle for so long
 	PerConn      int           // calls at a time on one connection
+	MaxConns     int           // to all workers together
 	Dial         func(addr string, timeout time.Duration, h loop.Dialled) Line
 }
 
@@ -53,6 +69,7 @@
 	now     time.Duration
 	workers map[policy.WorkerID]*worker
 	calls   map[router.Attempt]*call
+	pings   uint64
 }
 
 type worker struct {
@@ -63,7 +80,7 @@
 	conns []*conn
 }
 
-// call is a RUN, a HOLD or a probe.
+// call is a RUN, a HOLD, a probe or a ping.
 type call struct {
 	kind    kind
 	attempt router.Attempt
@@ -73,7 +90,7 @@
 	body    []byte
 	conn    *conn
 	written bool
-	stale   time.Duration // when it was given up; 0: it was not
+	sent    time.Duration
 }
 
 type kind uint8
@@ -82,19 +99,25 @@
 	run kind = iota
 	hold
 	probe
+	ping // a connection's own probe, of which nobody else hears
 )
 
 type conn struct {
-	pool  *Pool
-	w     *worker
-	line  Line
-	up    bool
-	open  map[string]*call // by token, given-up ones included
-	queue []*call          // behind the dial
-	runs  int
-	stale int
-	used  time.Duration
-	part  []byte // the beginning of an answer
+	pool    *Pool
+	w       *worker
+	line    Line
+	up      bool
+	closing bool             // closed by us, or retired: it takes nothing new
+	shut    bool             // closed by us: what still comes counts for nothing
+	open    map[string]*call // by token
+	ended   recent           // ids of calls that are no longer open
+	queue   []*call          // behind the dial
+	runs    int
+	used    time.Duration
+	heard   time.Duration // when the last whole answer came
+	pinged  time.Duration // when it was asked for a sign of life that hasn't come; 0: it was not
+	part    []byte        // the beginning of an answer
+	begun   time.Duration // when that came
 }
 
 // New returns a Pool that knows no worker.
@@ -157,7 +180,7 @@
 	p.sink.AttemptEnded(a, policy.Unreachable, policy.NoNote, nil, nil)
 }
 
-// Stop gives a call up. Its id stays taken on its connection: an answer on its way must not end
+// Stop gives a call up. Its connection does not carry its id again: an answer on its way must not end
 // another attempt of the same request.
 func (p *Pool) Stop(_ policy.WorkerID, a router.Attempt) {
 	k := p.calls[a]
@@ -166,16 +189,11 @@
 	}
 	delete(p.calls, a)
 	c := k.conn
-	c.runs--
 	if !k.written {
 		c.unqueue(k)
 		return
 	}
-	k.stale, k.body = p.now, nil
-	if c.stale++; c.stale > maxStale {
-		c.line.Close()
-		return
-	}
+	c.take(k)
 	c.line.Write(array("STOP", k.token))
 }
 
@@ -209,8 +227,8 @@
 		for _, c := range w.conns {
 			for _, letter := range []string{"h", "p"} {
 				if k := c.open[letter+strconv.FormatUint(tag, 10)]; k != nil {
-					delete(c.open, k.token)
 					c.unqueue(k)
+					c.take(k)
 				}
 			}
 		}
@@ -235,26 +253,26 @@
 	if w := p.workers[id]; w != nil {
 		for _, c := range w.conns {
 			if c.up && c.idle() {
-				c.line.Close()
+				c.close()
 			}
 		}
 	}
 }
 
 // Sweep closes what has been idle for nearly as long as workers allow, before they do: a call that
-// crossed their close would count as one that may have run.
+// crossed their close would count as one that may have run. It also ends connections that have died
+// without a word.
 func (p *Pool) Sweep(now time.Duration) {
 	p.SetNow(now)
 	for id, w := range p.workers {
-		for _, c := range w.conns {
-			for token, k := range c.open {
-				if k.stale > 0 && now-k.stale > staleFor {
-					delete(c.open, token)
-					c.stale--
-				}
-			}
-			if c.up && c.idle() && now-c.used > time.Duration(idleMargin*float64(p.cfg.KeepAlive)) {
-				c.line.Close()
+		for _, c := range slices.Clone(w.conns) {
+			c.ended.sweep(now)
+			switch {
+			case !c.up || c.closing && !c.idle():
+			case c.idle() && (c.closing || now-c.used > time.Duration(idleMargin*float64(p.cfg.KeepAlive))):
+				c.close()
+			default:
+				c.watch()
 			}
 		}
 		if w.gone && len(w.conns) == 0 {
@@ -263,19 +281,70 @@
 	}
 }
 
+// watch looks after a connection that owes answers. One that is cut off stays open and says nothing,
+// while others to the same worker may be well: the worker as a whole is then no reason to go elsewhere.
+// Bytes prove nothing here, only whole answers do.
+func (c *conn) watch() {
+	now, since := c.pool.now, time.Duration(0)
+	for _, k := range c.open {
+		if k.kind == run && k.written && (since == 0 || k.sent < since) {
+			since = k.sent
+		}
+	}
+	if len(c.part) > 0 && now-c.begun > stuckAfter {
+		c.fault(errStuck)
+		return
+	}
+	if since == 0 || now-max(since, c.heard) <= quietAfter {
+		return
+	}
+	if c.pinged == 0 {
+		c.pinged = now
+		c.pool.pings++
+		k := &call{kind: ping, token: "n" + strconv.FormatUint(c.pool.pings, 10)}
+		k.head = array("NOOP", k.token)
+		c.send(k)
+		return
+	}
+	if now-c.pinged > deadAfter && slices.ContainsFunc(c.w.conns, func(o *conn) bool { return o.heard > c.pinged }) {
+		c.fault(errSilent)
+	}
+}
+
+// fault ends a connection that is of no further use.
+func (c *conn) fault(err error) {
+	log.Printf("event=worker_closed addr=%s err=%q", c.w.addr, err)
+	c.close()
+}
+
+// close ends the connection; Closed follows. Nothing new goes to it: it would count as written.
+func (c *conn) close() {
+	c.closing, c.shut = true, true
+	c.line.Close()
+}
+
 // pick returns the connection for k: one that is up, else one that is being dialled, else a new
-// one. None holds another call of k's id, and none more calls than a worker takes on one.
+// one, and a quiet one only where no more may be opened. None has carried another call of k's id, and
+// none holds more calls than a worker takes on one.
 func (p *Pool) pick(w *worker, k *call) *conn {
 	var best *conn
+	rank := 0
 	for _, c := range w.conns {
-		if _, taken := c.open[k.token]; taken || c.line == nil || k.kind == run && c.runs >= p.cfg.PerConn {
+		if c.closing || c.line == nil || c.open[k.token] != nil || k.kind == run &&
+			(c.runs >= p.cfg.PerConn || c.ended.has(k.token) || c.ended.full()) {
 			continue
 		}
-		if best == nil || c.up && !best.up {
-			best = c
+		r := 2
+		if c.pinged > 0 {
+			r = 1
+		} else if c.up {
+			r = 3
+		}
+		if r > rank {
+			best, rank = c, r
 		}
 	}
-	if best != nil || len(w.conns) >= maxConns || w.addr == "" {
+	if rank > 1 || len(w.conns) >= maxConns || w.addr == "" || !p.room() {
 		return best
 	}
 	c := &conn{pool: p, w: w, open: map[string]*call{}, used: p.now}
@@ -284,7 +353,26 @@
 	return c
 }
 
-func (c *conn) idle() bool { return len(c.open) == c.stale && len(c.queue) == 0 }
+// room tells whether one more connection may be opened. At the limit the one that has been idle for
+// longest gives way, so that workers that come late get theirs.
+func (p *Pool) room() bool {
+	n, idle := 0, (*conn)(nil)
+	for _, w := range p.workers {
+		n += len(w.conns)
+		for _, c := range w.conns {
+			if c.up && !c.closing && c.idle() && (idle == nil || c.used < idle.used) {
+				idle = c
+			}
+		}
+	}
+	if n >= p.cfg.MaxConns && idle != nil {
+		idle.close()
+		return true
+	}
+	return n < p.cfg.MaxConns
+}
+
+func (c *conn) idle() bool { return len(c.open) == 0 }
 
 func (c *conn) send(k *call) {
 	k.conn, c.open[k.token] = c, k
@@ -299,7 +387,7 @@
 }
 
 func (c *conn) write(k *call) {
-	k.written, c.used = true, c.pool.now
+	k.written, k.sent, c.used = true, c.pool.now, c.pool.now
 	if k.kind == run {
 		c.line.Write(k.head, k.body, lineEnd)
 	} else {
@@ -314,7 +402,7 @@
 	for i, q := range c.queue {
 		if q == k {
 			c.queue = append(c.queue[:i], c.queue[i+1:]...)
-			delete(c.open, k.token)
+			c.take(k)
 			return
 		}
 	}
@@ -341,35 +429,39 @@
 // retire has c take nothing new; it closes once its calls have ended.
 func (c *conn) retire() {
 	if !c.up || c.idle() {
-		c.line.Close()
+		c.close()
 		if !c.up {
 			c.lost(policy.Unreachable)
 		}
 		return
 	}
-	c.runs = math.MaxInt32 / 2
+	c.closing = true
 }
 
-// take removes k from what is open.
+// take removes k from what is open, if it still is. The id of a call that was written is not used here
+// again.
 func (c *conn) take(k *call) {
+	if c.open[k.token] != k {
+		return
+	}
 	delete(c.open, k.token)
-	if k.stale > 0 {
-		c.stale--
-	} else if k.kind == run {
+	if k.kind == run {
 		c.runs--
+		if k.written {
+			c.ended.add(k.token)
+		}
 	}
 }
 
 // end reports an end that no answer told.
 func (p *Pool) end(k *call, o policy.Outcome) {
-	switch {
-	case k.stale > 0:
-	case k.kind == run:
+	switch k.kind {
+	case run:
 		delete(p.calls, k.attempt)
 		p.sink.AttemptEnded(k.attempt, o, policy.NoNote, nil, nil)
-	case k.kind == hold:
+	case hold:
 		p.sink.HoldEnded(k.tag, o, 0)
-	default:
+	case probe:
 		p.sink.Probed(k.tag, o, nil)
 	}
 }
@@ -420,12 +512,17 @@
 	return out
 }
 
-// Data takes in answers.
+// Data takes in answers. The beginning of one stays in a buffer that grows with it, so that an answer
+// that comes a few bytes at a time is not copied anew for each of them.
 func (c *conn) Data(b []byte) {
+	if c.shut {
+		return
+	}
 	if len(c.part) > 0 {
-		b = append(c.part, b...)
+		c.part = append(c.part, b...)
+		b = c.part
 	}
-	c.part = nil
+	whole := false
 	var room [maxWords][]byte
 	for len(b) > 0 {
 		words, n, err := next(b, room[:0])
@@ -433,15 +530,20 @@
 			err = c.answer(words)
 		}
 		if err != nil {
-			log.Printf("event=worker_closed addr=%s err=%q", c.w.addr, err)
-			c.line.Close()
+			c.part = nil
+			c.fault(err)
 			return
 		}
 		if n == 0 {
-			c.part = append([]byte(nil), b...)
-			return
+			break
 		}
-		b = b[n:]
+		b, whole = b[n:], true
+	}
+	if len(b) > 0 && (whole || len(c.part) == 0) {
+		c.begun = c.pool.now
+	}
+	if c.part = append(c.part[:0], b...); len(b) == 0 && cap(c.part) > partKept {
+		c.part = nil
 	}
 }
 
@@ -450,9 +552,10 @@
 	if len(words) < 2 {
 		return errSyntax
 	}
+	c.heard, c.pinged = c.pool.now, 0
 	k := c.open[string(words[0])]
 	if k == nil {
-		return nil // of an order or a probe that took too long
+		return nil // a second copy, or of a call that was given up
 	}
 	var fields, body []byte
 	if len(words) > 2 {
@@ -464,19 +567,19 @@
 	word, report := string(words[1]), c.pool.report(field(fields, "use"))
 	o, known := outcomes[word]
 	switch {
-	case !known || k.kind == probe != (word == "PONG" || word == "SICK"):
+	case !known || k.kind >= probe != (word == "PONG" || word == "SICK"):
 		return errSyntax
 	case !k.written:
 		return errSyntax // answered before it was sent
 	}
 	c.take(k)
 	c.used = c.pool.now
-	switch {
-	case k.stale > 0:
-	case k.kind == hold:
+	switch k.kind {
+	case ping:
+	case hold:
 		count, _ := strconv.Atoi(string(field(fields, "count")))
 		c.pool.sink.HoldEnded(k.tag, o, count)
-	case k.kind == probe:
+	case probe:
 		c.pool.sink.Probed(k.tag, o, report)
 	default:
 		delete(c.pool.calls, k.attempt)
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -41,7 +41,7 @@
 	s := &sink{map[router.Attempt][]policy.Outcome{}, map[uint64][]policy.Outcome{}, map[router.Attempt]string{}}
 	var lines []*line
 	p := New(Config{Classes: []string{"dim-level"}, ReportFields: []string{"inflight"}, DialTimeout: time.Second,
-		KeepAlive: 30 * time.Second, PerConn: 2, Dial: func(_ string, _ time.Duration, h loop.Dialled) Line {
+		KeepAlive: 30 * time.Second, PerConn: 2, MaxConns: 100, Dial: func(_ string, _ time.Duration, h loop.Dialled) Line {
 			lines = append(lines, &line{h: h})
 			return lines[len(lines)-1]
 		}}, s)
@@ -224,3 +224,215 @@
 		t.Errorf("%d connections", len(*lines))
 	}
 }
+
+func reply(id, word, body string) []byte {
+	return fmt.Appendf(nil, "*4\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$1\r\n-\r\n$%d\r\n%s\r\n", len(id), id, len(word), word, len(body), body)
+}
+
+// ran tells on which connections an id was sent.
+func ran(lines []*line, id string) (on []int) {
+	for i, l := range lines {
+		if strings.Contains(l.Wrote.String(), "RUN\r\n$16\r\n"+id) {
+			on = append(on, i)
+		}
+	}
+	return on
+}
+
+// Guards against a second copy of an answer: of a miss, say, which would have the next attempt of the
+// same request count as one that never ran, and an order be sent once more.
+func TestSecondCopyEndsNoLaterAttempt(t *testing.T) {
+	p, s, lines := newPool()
+	const id = "0123456789abcdef"
+	first, second := router.Attempt{Request: 1}, router.Attempt{Request: 1, Number: 1}
+	p.Run(1, first, request(id), time.Second)
+	l := (*lines)[0]
+	l.h.Opened(nil)
+	l.h.Data(reply(id, "NONE", ""))
+	p.Run(1, second, request(id), time.Second)
+	l.h.Data(reply(id, "NONE", ""))
+	l.h.Data(reply("unknown", "HIT", "ahead"))
+	if len(s.ended[second]) != 0 || l.HasClosed || len(*lines) != 2 {
+		t.Fatalf("second attempt ended %v on %d connections", s.ended[second], len(*lines))
+	}
+	(*lines)[1].h.Opened(nil)
+	(*lines)[1].h.Data(reply(id, "HIT", "done"))
+	if len(s.ended[second]) != 1 || s.body[second] != "done" || len(ran(*lines, id)) != 2 {
+		t.Errorf("second attempt ended %v with %q", s.ended[second], s.body[second])
+	}
+	for now := time.Duration(0); now <= 3*rememberFor; now += SweepEvery {
+		p.Sweep(now)
+	}
+	for _, c := range p.workers[1].conns {
+		if len(c.ended.now)+len(c.ended.before)+len(c.open) != 0 {
+			t.Errorf("a connection still remembers %d ids", len(c.ended.now)+len(c.ended.before))
+		}
+	}
+}
+
+// Guards against a flood of takebacks: the ids that a connection remembers are bounded, and one that is
+// full gives way to another without a reset for the calls that are open on it.
+func TestTakebacksCostNobodyElseAConnection(t *testing.T) {
+	p, s, lines := newPool()
+	stays := router.Attempt{Request: 9999}
+	p.Run(1, stays, request("00000000000000ff"), time.Second)
+	(*lines)[0].h.Opened(nil)
+	for i := range rememberMost + 10 {
+		a := router.Attempt{Request: policy.RequestID(i)}
+		p.Run(1, a, request(fmt.Sprintf("%016x", 1<<20+i)), time.Second)
+		p.Stop(1, a)
+	}
+	if (*lines)[0].HasClosed || len(s.ended[stays]) != 0 || len(*lines) != 2 {
+		t.Errorf("closed %v, ended %v, %d connections", (*lines)[0].HasClosed, s.ended[stays], len(*lines))
+	}
+	if n := len(p.workers[1].conns[0].ended.now); n != rememberMost {
+		t.Errorf("%d ids are remembered", n)
+	}
+}
+
+// Guards against a connection that was cut off: it stays open and says nothing while its worker is well.
+// Nothing more goes over it, and what is open on it ends; a worker that is silent altogether keeps its
+// connections, for that is for the module to judge.
+func TestSilentConnectionIsLeft(t *testing.T) {
+	for _, well := range []bool{true, false} {
+		p, s, lines := newPool()
+		now := time.Hour
+		p.Sweep(now)
+		a, b := router.Attempt{Request: 1}, router.Attempt{Request: 2}
+		p.Run(1, a, request("00000000000000a1"), time.Second)
+		(*lines)[0].h.Opened(nil)
+		pass := func(d time.Duration) {
+			for end := now + d; now < end; {
+				now += SweepEvery
+				p.Sweep(now)
+			}
+		}
+		pass(quietAfter + SweepEvery)
+		if got := (*lines)[0].Wrote.String(); strings.Count(got, "NOOP") != 1 {
+			t.Fatalf("not asked for a sign of life: %q", got)
+		}
+		p.Run(1, b, request("00000000000000b2"), time.Second)
+		if on := ran(*lines, "00000000000000b2"); len(*lines) != 2 || len(on) != 0 {
+			t.Fatalf("a silent connection was chosen, of %d", len(*lines))
+		}
+		(*lines)[1].h.Opened(nil)
+		if pass(SweepEvery); well {
+			(*lines)[1].h.Data(reply("00000000000000b2", "HIT", ""))
+		}
+		pass(deadAfter + SweepEvery)
+		if (*lines)[0].HasClosed != well {
+			t.Errorf("worker well: %v, silent connection closed: %v", well, (*lines)[0].HasClosed)
+		}
+		if (*lines)[0].h.Closed(nil); len(s.ended[a]) != 1 || s.ended[a][0] != policy.Reset {
+			t.Errorf("ended %v", s.ended[a])
+		}
+	}
+	p, _, lines := newPool() // a sign of life makes it good again
+	p.Run(1, router.Attempt{Request: 1}, request("00000000000000a1"), time.Second)
+	(*lines)[0].h.Opened(nil)
+	p.Sweep(quietAfter + SweepEvery)
+	(*lines)[0].h.Data([]byte("*2\r\n$2\r\nn1\r\n$4\r\nPONG\r\n"))
+	if p.Run(1, router.Attempt{Request: 2}, request("00000000000000b2"), time.Second); len(*lines) != 1 || (*lines)[0].HasClosed {
+		t.Error("a connection that answered was left")
+	}
+}
+
+// Guards against an answer that stops short on an open connection: no more bytes, or a few now and then
+// that never make it whole.
+func TestAnswerThatStopsShortIsNotWaitedFor(t *testing.T) {
+	p, s, lines := newPool()
+	a := router.Attempt{Request: 1}
+	p.Run(1, a, request("00000000000000a1"), time.Second)
+	l := (*lines)[0]
+	l.h.Opened(nil)
+	whole := reply("00000000000000a1", "HIT", strings.Repeat("x", 1000))
+	for i := range 12 {
+		p.Sweep(time.Hour + time.Duration(i)*SweepEvery)
+		if !l.HasClosed {
+			l.h.Data(whole[i*3 : i*3+3])
+		}
+	}
+	if p.Sweep(time.Hour + 12*SweepEvery); !l.HasClosed {
+		t.Fatal("the rest of an answer is still waited for")
+	}
+	l.h.Data(whole[36:]) // too late: nothing that follows counts
+	if len(s.ended[a]) != 0 {
+		t.Errorf("ended %v by what came after the close", s.ended[a])
+	}
+	p.Run(1, router.Attempt{Request: 2}, request("00000000000000b2"), time.Second)
+	if len(*lines) != 2 {
+		t.Error("a call went to a connection that we closed")
+	}
+}
+
+// Guards against copying the beginning of an answer anew for each of its bytes.
+func TestBeginningOfAnAnswerIsNotCopiedOver(t *testing.T) {
+	p, s, lines := newPool()
+	a := router.Attempt{Request: 1}
+	p.Run(1, a, request("00000000000000a1"), time.Second)
+	(*lines)[0].h.Opened(nil)
+	whole := reply("00000000000000a1", "HIT", strings.Repeat("x", maxBulk-64))
+	allocs := testing.AllocsPerRun(1, func() {
+		for i := range whole {
+			(*lines)[0].h.Data(whole[i : i+1])
+		}
+	})
+	if len(s.ended[a]) != 1 || allocs > 60 {
+		t.Errorf("ended %v after %v allocations for %d bytes", s.ended[a], allocs, len(whole))
+	}
+}
+
+// Guards the descriptors: connections to all workers together are bounded, and an idle one makes room.
+func TestConnectionsAreBoundedTogether(t *testing.T) {
+	p, s, lines := newPool()
+	p.cfg.MaxConns = 3
+	for w := range policy.WorkerID(5) {
+		p.Set(w+1, fmt.Sprintf("127.0.0.1:%d", w+1), policy.Ready)
+		p.Run(w+1, router.Attempt{Request: policy.RequestID(w)}, request(fmt.Sprintf("%016x", w)), time.Second)
+	}
+	if len(*lines) != 3 || s.ended[router.Attempt{Request: 4}][0] != policy.Unreachable {
+		t.Fatalf("%d connections, ended %v", len(*lines), s.ended)
+	}
+	(*lines)[0].h.Opened(nil)
+	(*lines)[0].h.Data(reply(fmt.Sprintf("%016x", 0), "HIT", ""))
+	p.Run(5, router.Attempt{Request: 9}, request("00000000000000ff"), time.Second)
+	if len(*lines) != 4 || !(*lines)[0].HasClosed {
+		t.Errorf("%d connections, idle one closed: %v", len(*lines), (*lines)[0].HasClosed)
+	}
+}
+
+// Guards the long day: generations of workers come and go, some at an address that was another's, and
+// nothing about those that are gone stays.
+func TestNothingStaysOfGoneWorkers(t *testing.T) {
+	p, _, lines := newPool()
+	now := time.Duration(0)
+	for g := range 200 {
+		w := policy.WorkerID(g + 2)
+		p.Retain(map[policy.WorkerID]bool{w: true})
+		p.Set(w, "127.0.0.1:1", policy.Ready)
+		a := router.Attempt{Request: policy.RequestID(g)}
+		p.Run(w, a, request(fmt.Sprintf("%016x", g)), time.Second)
+		p.Hold(w, 7, 1, uint64(g))
+		l := (*lines)[len(*lines)-1]
+		if l.h.Opened(nil); g%2 == 0 {
+			l.h.Data(reply(fmt.Sprintf("%016x", g), "HIT", ""))
+		} else {
+			p.Stop(w, a)
+		}
+		p.Forget(w, uint64(g))
+		p.Retain(nil)
+		for range 3 {
+			now += SweepEvery
+			p.Sweep(now)
+			for _, l := range *lines {
+				if l.HasClosed && l.h != nil {
+					l.h.Closed(nil)
+					l.h = nil
+				}
+			}
+		}
+	}
+	if len(p.workers)+len(p.calls) != 0 {
+		t.Errorf("%d workers and %d calls stay", len(p.workers), len(p.calls))
+	}
+}
