Bound what one client gets: time for a message, open calls, ids, figures, memory

Seen by reading, each with a test that fails on the code before: - loop.go closed idle connections after 15 s and counted any byte as a sign of life, so a silent or half-sent one outlived the 3 s that it is owed an end in; evict took the connection idle for longest, which under a flood of silent ones is a usual client's; - the accepting goroutine ran ahead of the loop: a flood of connects took descriptors beyond the third before the loop could turn them away, and dials to workers then fail; - router.go let two open requests share an id, and the workers answer by id; - thrift/front.go took a number again once its call was answered, closed the whole connection at the 65th open call, read ids and keys in upper case (an order to load then names a function in lower case that no client called), took figures up to 1e9, and copied a partial frame at each read; - bounds of 24, 8 and 32 MiB held whatever memory the configuration gives; refusals for want of room advised 1 s even where the settings allow no advice.

--- a/cmd/crankhold/config.go
+++ b/cmd/crankhold/config.go
@@ -111,6 +111,21 @@
 	return c.Limits.Sockets - c.clientConns() - min(ownFiles, c.Limits.Sockets/4)
 }
 
+// share scales a bound that is right for 192 MB to the memory that there is. The bounds on what is held for
+// peers come to 80 MiB of those 192 with the webhooks' outcomes, and keep that part of any smaller limit.
+func (c *config) share(bytes int) int { return bytes * min(c.Limits.MemoryMB, 192) / 192 }
+
+// maxOpen is how many requests may be open: at 2 KiB each, bodies aside, a sixteenth of the memory.
+func (c *config) maxOpen() int { return min(c.network.Limits.MaxOpen, c.Limits.MemoryMB*32) }
+
+// turnedAway is what clients are told that there is no room for.
+func (c *config) turnedAway() time.Duration {
+	if !c.module.RetryAfter {
+		return 0
+	}
+	return min(time.Second, c.module.MaxRetryAfter)
+}
+
 // needsRestart names what fresh changes and a reload does not take over. The seed and the start's list
 // count at a start alone.
 func (c *config) needsRestart(fresh *config) (changed []string) {
--- a/cmd/crankhold/config_test.go
+++ b/cmd/crankhold/config_test.go
@@ -6,6 +6,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"time"
 )
 
 const goodConfig = `{"name":"n3","listen":"127.0.0.1:10080","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
@@ -71,3 +72,28 @@
 		}
 	}
 }
+
+// Guards small shares: what may be held for peers stays within the memory and the descriptors given.
+func TestBoundsFollowTheLimits(t *testing.T) {
+	for _, memory := range []int{32, 48, 64, 192, 2048} {
+		for _, sockets := range []int{64, 256, 1024} {
+			var c config
+			c.Limits.MemoryMB, c.Limits.Sockets, c.network.Limits.MaxOpen = memory, sockets, 20000
+			held := c.share(8<<20) + c.share(32<<20) + c.share(24<<20) + c.share(16<<20) + c.maxOpen()*2048
+			if held > memory<<20/2 || c.share(24<<20) < 1<<20 || c.maxOpen() < 1000 {
+				t.Errorf("%d MB: %d bytes may be held, %d requests open", memory, held, c.maxOpen())
+			}
+			if own := sockets - c.clientConns() - c.workerConns(); c.clientConns()*3 > sockets || own < 16 || c.workerConns() < 20 {
+				t.Errorf("%d descriptors: %d for clients, %d for workers", sockets, c.clientConns(), c.workerConns())
+			}
+		}
+	}
+	var c config
+	if c.turnedAway() != 0 {
+		t.Error("advice where the settings allow none")
+	}
+	c.module.RetryAfter, c.module.MaxRetryAfter = true, 300*time.Millisecond
+	if c.turnedAway() != c.module.MaxRetryAfter {
+		t.Errorf("advice %v", c.turnedAway())
+	}
+}
--- a/cmd/crankhold/hooks.go
+++ b/cmd/crankhold/hooks.go
@@ -86,7 +86,7 @@
 		for i, k := range c.module.Classes {
 			classes = append(classes, webhook.Class{Name: c.network.Classes[i].Name, Once: k.Repeat != policy.Safe, Longest: k.Deadline})
 		}
-		if h.receiver, err = webhook.NewReceiver(cfg, core, classes, lp.Now, time.Now, lp.Post); err != nil {
+		if h.receiver, err = webhook.NewReceiver(cfg, core, classes, c.share(16<<20), lp.Now, time.Now, lp.Post); err != nil {
 			return err
 		}
 		h.servers[router.Webhook], _ = netip.ParseAddrPort(cfg.Receiver.Listen) // so was this
--- a/cmd/crankhold/main.go
+++ b/cmd/crankhold/main.go
@@ -29,8 +29,7 @@
 	// platform kills 3.7 s after SIGTERM at the earliest.
 	flushFor     = 3500 * time.Millisecond
 	probeTimeout = 250 * time.Millisecond
-	maxBodies    = 24 << 20 // bytes of open requests' bodies
-	procs        = 4        // so that a poller asleep in the kernel does not hold up the loop
+	procs        = 4 // so that a poller asleep in the kernel does not hold up the loop
 )
 
 func main() {
@@ -64,8 +63,9 @@
 	for _, k := range c.network.Classes {
 		classes = append(classes, k.Name)
 	}
-	lp := loop.New(loop.Config{MaxAccepted: c.clientConns(), MaxFiles: c.Limits.Sockets})
-	core := router.New(module, router.Limits{MaxOpen: c.network.Limits.MaxOpen, MaxBytes: maxBodies,
+	lp := loop.New(loop.Config{MaxAccepted: c.clientConns(), MaxFiles: c.Limits.Sockets,
+		MaxQueued: c.share(8 << 20), MaxUnread: c.share(32 << 20)})
+	core := router.New(module, router.Limits{MaxOpen: c.maxOpen(), MaxBytes: c.share(24 << 20), RetryAfter: c.turnedAway(),
 		MaxAttempts: c.module.MaxAttempts, OrderTimeout: c.module.OrderTimeout, ProbeTimeout: probeTimeout})
 	pool := resp.New(resp.Config{Classes: classes, ReportFields: c.module.ReportFields,
 		DialTimeout: millis(c.network.Limits.DialTimeoutMs), KeepAlive: millis(c.network.Limits.KeepaliveMs),
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -21,15 +21,20 @@
 )
 
 const (
-	maxQueued       = 8 << 20          // bytes queued for the loop; beyond it the pollers wait
-	maxUnwritten    = 640 << 10        // bytes a peer may leave unread: 32 answers of 16 KiB and their heads
-	maxUnwrittenAll = 32 << 20         // and all peers together
-	readBuffer      = 32 << 10         // of the one poller, not of each connection
-	maxVectors      = 512              // buffers in one gathered write; the kernel takes 1,024
-	idleAfter       = 15 * time.Second // an accepted connection that owes and says nothing is closed
-	sweepEvery      = time.Second
-	acceptPause     = 20 * time.Millisecond
-	epoch           = time.Hour // the clock's first reading, so that earlier instants are positive too
+	maxUnwritten = 640 << 10 // bytes a peer may leave unread: 32 answers of 16 KiB and their heads
+	readBuffer   = 32 << 10  // of the one poller, not of each connection
+	maxVectors   = 512       // buffers in one gathered write; the kernel takes 1,024
+	maxAccepts   = 8         // accepted connections that wait for the loop; beyond it none is accepted
+
+	// An accepted connection on which nothing is owed is closed when it has said nothing for idleAfter.
+	// One that never sent a whole message, or sent the beginning of one, has messageWithin for it: bytes
+	// that trickle in don't count.
+	idleAfter     = 15 * time.Second
+	messageWithin = 2500 * time.Millisecond
+
+	sweepEvery  = 200 * time.Millisecond
+	acceptPause = 20 * time.Millisecond
+	epoch       = time.Hour // the clock's first reading, so that earlier instants are positive too
 )
 
 // errSlow closes a peer that does not read while there is too much to be read by all.
@@ -51,6 +56,8 @@
 	Handler
 	// Busy tells whether the connection has open requests and must be left alone.
 	Busy() bool
+	// Messages is how many whole messages have come, and whether the beginning of another has.
+	Messages() (whole int, begun bool)
 }
 
 // Dialled is the handler of a connection that this program opens.
@@ -64,6 +71,8 @@
 type Config struct {
 	MaxAccepted int // accepted connections at once
 	MaxFiles    int // descriptors of the process
+	MaxQueued   int // bytes queued for the loop; beyond it the pollers wait
+	MaxUnread   int // bytes that all peers together may leave unread
 }
 
 // Loop owns the engine and the queue between it and the goroutine in Run.
@@ -78,6 +87,7 @@
 	unread atomic.Int64 // bytes that peers have yet to take
 	queue  []item
 	queued int // bytes in queue
+	fresh  int // accepted connections in queue
 	oldest time.Duration
 	wake   chan struct{}
 
@@ -87,6 +97,9 @@
 	dirty    []*Conn
 	swept    time.Duration
 	stopped  bool
+
+	refused    int // connections, since complained
+	complained time.Duration
 }
 
 type item struct {
@@ -115,8 +128,10 @@
 	accept func(*Conn) Accepted
 	h      Handler
 	out    [][]byte
-	unread atomic.Int64 // bytes that the peer has yet to take
-	heard  time.Duration
+	unread atomic.Int64  // bytes that the peer has yet to take
+	whole  int           // messages that have come
+	heard  time.Duration // when the last of them came, or the connection
+	begun  time.Duration // when the beginning of the next one came; 0: none has
 	isUp   bool
 	closed bool
 	ended  bool
@@ -226,12 +241,16 @@
 func (l *Loop) Addrs() []string { return l.engine.Addrs }
 
 // push queues it and wakes the loop. Where too much is queued the caller, a poller, waits: what
-// the kernel then holds back slows the peers down.
+// the kernel then holds back slows the peers down. So does the one that accepts, since connections that
+// the loop has not seen hold descriptors beyond the limit on them.
 func (l *Loop) push(it item) {
 	l.mu.Lock()
-	for l.queued > maxQueued && it.kind == gotData {
+	for l.queued > l.cfg.MaxQueued && it.kind == gotData || l.fresh >= maxAccepts && it.kind == gotConn {
 		l.room.Wait()
 	}
+	if it.kind == gotConn {
+		l.fresh++
+	}
 	if len(l.queue) == 0 {
 		l.oldest = l.clock()
 	}
@@ -260,7 +279,7 @@
 		}
 		l.mu.Lock()
 		batch := l.queue
-		l.queue, l.queued = spare[:0], 0
+		l.queue, l.queued, l.fresh = spare[:0], 0, 0
 		// The turn's one reading of the clock. Requests of this turn count from the moment at
 		// which the first of them was queued: later would promise more time than there is.
 		l.now = l.clock()
@@ -294,7 +313,7 @@
 		it.call()
 	case gotConn:
 		if c.accept == nil || len(l.accepted) >= l.cfg.MaxAccepted && !l.evict() {
-			log.Printf("event=connection_refused err=%q", ErrTooMany)
+			l.refused++
 			c.Close()
 			return
 		}
@@ -315,8 +334,8 @@
 		c.h.(Dialled).Opened(it.err)
 	case gotData:
 		if c.h != nil && !c.closed {
-			c.heard = l.now
 			c.h.Data(it.data)
+			c.listen()
 		}
 	case gotEnd:
 		delete(l.accepted, c)
@@ -330,11 +349,35 @@
 	}
 }
 
-// evict closes the accepted connection that has been idle for longest, to make room.
+// listen notes what whole messages an accepted connection has brought.
+func (c *Conn) listen() {
+	a, ok := c.h.(Accepted)
+	if !ok {
+		return
+	}
+	whole, begun := a.Messages()
+	if whole > c.whole {
+		c.whole, c.heard, c.begun = whole, c.loop.now, 0
+	}
+	switch {
+	case !begun:
+		c.begun = 0
+	case c.begun == 0:
+		c.begun = c.loop.now
+	}
+}
+
+// evict closes an accepted connection on which nothing is owed, to make room: of those that never sent a
+// whole message the oldest, and where there is none the one that has been idle for longest. Connections
+// that are opened by hundreds and say nothing so end each other, and not those of clients that asked.
 func (l *Loop) evict() bool {
 	var idle *Conn
 	for c := range l.accepted {
-		if !c.closed && !c.h.(Accepted).Busy() && (idle == nil || c.heard < idle.heard) {
+		if c.closed || c.h.(Accepted).Busy() {
+			continue
+		}
+		if idle == nil || (c.whole == 0) != (idle.whole == 0) && c.whole == 0 ||
+			(c.whole == 0) == (idle.whole == 0) && c.heard < idle.heard {
 			idle = c
 		}
 	}
@@ -347,10 +390,25 @@
 func (l *Loop) sweep() {
 	l.swept = l.now
 	for c := range l.accepted {
-		if l.now-c.heard > idleAfter && !c.h.(Accepted).Busy() {
+		if c.late() && !c.h.(Accepted).Busy() {
 			c.Close()
 		}
 	}
+	if l.refused > 0 && l.now-l.complained > time.Second { // not once for each: a flood would fill the log
+		log.Printf("event=connections_refused count=%d err=%q", l.refused, ErrTooMany)
+		l.refused, l.complained = 0, l.now
+	}
+}
+
+// late tells whether an accepted connection has had its time.
+func (c *Conn) late() bool {
+	switch {
+	case c.begun > 0:
+		return c.loop.now-c.begun > messageWithin
+	case c.whole == 0:
+		return c.loop.now-c.heard > messageWithin
+	}
+	return c.loop.now-c.heard > idleAfter
 }
 
 // Dial opens a connection and returns at once. A net.Dialer does it on a goroutine of its own: in
@@ -449,7 +507,7 @@
 			}
 		}
 	}
-	if c.unread.Load() > 0 && c.loop.unread.Load() > maxUnwrittenAll {
+	if c.unread.Load() > 0 && c.loop.unread.Load() > int64(c.loop.cfg.MaxUnread) {
 		return errSlow
 	}
 	return nil
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -16,6 +16,8 @@
 	c     *Conn
 	times int
 	busy  bool
+	whole int
+	begun bool
 	ends  chan error
 }
 
@@ -24,8 +26,9 @@
 		e.c.Write(b, nil, []byte("|"))
 	}
 }
-func (e *echo) Closed(err error) { e.ends <- err }
-func (e *echo) Busy() bool       { return e.busy }
+func (e *echo) Closed(err error)      { e.ends <- err }
+func (e *echo) Busy() bool            { return e.busy }
+func (e *echo) Messages() (int, bool) { return e.whole, e.begun }
 
 // dialled tells how a dial and its connection ended.
 type dialled struct{ opened, closed chan error }
@@ -35,7 +38,7 @@
 func (d *dialled) Closed(err error) { d.closed <- err }
 
 func start(t *testing.T, most int, accept func(*Conn) Accepted) *Loop {
-	l := New(Config{MaxAccepted: most, MaxFiles: 256})
+	l := New(Config{MaxAccepted: most, MaxFiles: 256, MaxQueued: 8 << 20, MaxUnread: 32 << 20})
 	l.Listen("127.0.0.1:0", accept)
 	if err := l.Start(); err != nil {
 		t.Fatal(err)
@@ -169,3 +172,90 @@
 		t.Errorf("a dial: %v", err)
 	}
 }
+
+// Guards the time that a client has for its message: whole messages count, not the bytes that trickle in,
+// and one that asked once may hold its connection for longer.
+func TestClientsHaveLimitedTimeForAMessage(t *testing.T) {
+	const step = 100 * time.Millisecond
+	for name, c := range map[string]struct {
+		feed func(e *echo, at time.Duration) bool // tells whether bytes come
+		gone time.Duration
+	}{
+		"silent":         {func(*echo, time.Duration) bool { return false }, messageWithin},
+		"trickles":       {func(e *echo, _ time.Duration) bool { e.begun = true; return true }, messageWithin},
+		"asked and held": {func(e *echo, at time.Duration) bool { e.whole = 1; return at == 0 }, idleAfter},
+		"half a second one": {func(e *echo, at time.Duration) bool {
+			e.whole, e.begun = 1, at >= 5*time.Second
+			return at == 0 || e.begun
+		}, 5*time.Second + messageWithin},
+		"goes on asking": {func(e *echo, _ time.Duration) bool { e.whole++; return true }, time.Minute},
+		"owed an answer": {func(e *echo, at time.Duration) bool { e.busy = at < 20*time.Second; return false }, 20 * time.Second},
+	} {
+		l := New(Config{})
+		e := &echo{}
+		conn := &Conn{loop: l, h: e, isUp: true, heard: l.now}
+		l.accepted[conn] = struct{}{}
+		start, closed := l.now, time.Minute
+		for at := time.Duration(0); at < time.Minute; at += step {
+			if l.now = start + at; c.feed(e, at) {
+				conn.listen()
+			}
+			if l.sweep(); conn.closed {
+				closed = at
+				break
+			}
+		}
+		if closed < c.gone || closed > c.gone+2*step {
+			t.Errorf("%s: closed after %v, want %v", name, closed, c.gone)
+		}
+	}
+}
+
+// Guards clients that asked against connections that are opened by hundreds and say nothing: those make
+// room for each other, the oldest first.
+func TestSilentConnectionsMakeRoomFirst(t *testing.T) {
+	l := New(Config{})
+	add := func(whole int, busy bool, heard time.Duration) *Conn {
+		c := &Conn{loop: l, h: &echo{busy: busy}, isUp: true, whole: whole, heard: heard}
+		l.accepted[c] = struct{}{}
+		return c
+	}
+	order := []*Conn{add(0, false, 5), add(0, false, 6), add(1, false, 1), add(3, false, 2)}
+	busy := add(0, true, 0)
+	for i, c := range order {
+		if !l.evict() || !c.closed {
+			t.Fatalf("connection %d was not the one to make room", i)
+		}
+	}
+	if l.evict() || busy.closed {
+		t.Error("a connection that is owed an answer made room")
+	}
+}
+
+// Guards the descriptors: while the loop is held up no more than a few connections are accepted.
+func TestAcceptingWaitsForTheLoop(t *testing.T) {
+	l := New(Config{})
+	pushed := make(chan int, 100)
+	go func() {
+		for i := range 3 * maxAccepts {
+			l.push(item{conn: &Conn{loop: l}, kind: gotConn})
+			pushed <- i
+		}
+		close(pushed)
+	}()
+	for range maxAccepts {
+		<-pushed
+	}
+	turns, most := 0, 0
+	for open := true; open; turns++ { // each turn takes what is queued, and lets as many in
+		l.mu.Lock()
+		most = max(most, len(l.queue))
+		l.queue, l.fresh = nil, 0
+		l.room.Broadcast()
+		l.mu.Unlock()
+		_, open = <-pushed
+	}
+	if most > maxAccepts || turns < 2 {
+		t.Errorf("%d connections waited at once, %d turns", most, turns)
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -68,6 +68,39 @@
 	Taken  time.Duration  // set by Take
 }
 
+// ParseKey reads 16 hex digits in lower case, as keys and ids are worded. Any other wording of the same
+// number is refused: workers compare these as text, and an order to load names its function in this one.
+func ParseKey(s string) (uint64, bool) {
+	if len(s) != 16 {
+		return 0, false
+	}
+	n := uint64(0)
+	for _, d := range []byte(s) {
+		switch {
+		case d >= '0' && d <= '9':
+			d -= '0'
+		case d >= 'a' && d <= 'f':
+			d -= 'a' - 10
+		default:
+			return 0, false
+		}
+		n = n<<4 | uint64(d)
+	}
+	return n, true
+}
+
+// The most that a request's figures may say. What is beyond is no function that a worker could hold, and
+// would only spoil the module's estimates.
+const (
+	MaxMemoryMB = 1 << 20
+	MaxLanes    = 1024
+	MaxLoadMs   = 600_000
+	MaxWaitMs   = 600_000
+)
+
+// Within tells whether a figure is a number from 0 to most.
+func Within(v, most float64) bool { return v >= 0 && v <= most }
+
 // Attempt names an attempt to the Workers.
 type Attempt struct {
 	Request policy.RequestID
@@ -92,6 +125,7 @@
 type Limits struct {
 	MaxOpen      int           // requests open at once
 	MaxBytes     int           // their bodies together
+	RetryAfter   time.Duration // what those are told that are turned away; 0: nothing
 	MaxAttempts  int           // of a request
 	OrderTimeout time.Duration // an order with no answer by then has timed out
 	ProbeTimeout time.Duration
@@ -109,6 +143,7 @@
 	timers  timers
 	seq     uint64
 	reqs    map[policy.RequestID]*entry
+	ids     map[string]struct{} // what their clients call them
 	last    policy.RequestID
 	open    int
 	bytes   int
@@ -154,7 +189,7 @@
 
 // New returns a Core around p.
 func New(p *policy.Policy, limits Limits) *Core {
-	return &Core{policy: p, limits: limits, reqs: map[policy.RequestID]*entry{}, asked: map[uint64]*question{}}
+	return &Core{policy: p, limits: limits, reqs: map[policy.RequestID]*entry{}, ids: map[string]struct{}{}, asked: map[uint64]*question{}}
 }
 
 // Use sets the Workers; it is called once, before anything else.
@@ -169,15 +204,20 @@
 // Take hands in a request. It returns its id; the answer may come before Take returns.
 func (c *Core) Take(now time.Duration, r Request) policy.RequestID {
 	c.now = max(c.now, now)
-	c.Count.Taken[r.Front]++
 	if c.Draining || c.open >= c.limits.MaxOpen || c.bytes+len(r.Body) > c.limits.MaxBytes {
-		// Bounds our memory, and lets a stop come to its end under clients that go on sending: the
-		// module never hears of these.
-		c.Count.Turned[r.Front]++
+		// Bounds our memory, and lets a stop come to its end under clients that go on sending.
+		c.TurnAway(now, r)
+		return 0
+	}
+	c.Count.Taken[r.Front]++
+	if _, open := c.ids[r.ID]; open {
+		// Workers know a request by its id: under one id they would answer one request's body to the
+		// other. Which of the two a client means can't be told, so the later one fails.
+		c.Count.Failed[r.Front]++
 		if r.Taken = c.now; c.Observe != nil {
-			c.Observe(c.now, &r, "refused")
+			c.Observe(c.now, &r, "failed")
 		}
-		r.Asker.Answered(Answer{Verdict: Refused, RetryAfter: time.Second})
+		r.Asker.Answered(Answer{Verdict: Failed})
 		return 0
 	}
 	for c.last++; c.last == 0 || c.reqs[c.last] != nil; c.last++ {
@@ -185,6 +225,7 @@
 	r.Taken = c.now
 	e := &entry{Request: r}
 	c.reqs[c.last] = e
+	c.ids[r.ID] = struct{}{}
 	c.open++
 	c.bytes += len(r.Body)
 	c.events = append(c.events, policy.Arrived{Request: c.last, Class: r.Class, Function: r.Function, Lanes: r.Lanes,
@@ -193,6 +234,17 @@
 	return c.last
 }
 
+// TurnAway refuses a request that we have no room for; the module never hears of it.
+func (c *Core) TurnAway(now time.Duration, r Request) {
+	c.now = max(c.now, now)
+	c.Count.Taken[r.Front]++
+	c.Count.Turned[r.Front]++
+	if r.Taken = c.now; c.Observe != nil {
+		c.Observe(c.now, &r, "refused")
+	}
+	r.Asker.Answered(Answer{Verdict: Refused, RetryAfter: c.limits.RetryAfter})
+}
+
 // Leave says that the client no longer waits for a request.
 func (c *Core) Leave(now time.Duration, id policy.RequestID) {
 	c.now = max(c.now, now)
@@ -370,8 +422,9 @@
 }
 
 func (c *Core) release(id policy.RequestID, e *entry) {
-	if e.done && e.out == 0 {
+	if e.done && e.out == 0 && c.reqs[id] == e {
 		delete(c.reqs, id)
+		delete(c.ids, e.ID)
 	}
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -102,7 +102,7 @@
 			sends    int  // when that became so
 			mayRun   bool // some attempt ended without proof that it never ran
 		}
-		models := map[policy.RequestID]*model{}
+		models, taken := map[policy.RequestID]*model{}, 0
 		end := func(a Attempt, o policy.Outcome) {
 			delete(w.out, a)
 			if m := models[a.Request]; m != nil && !o.NeverRan() {
@@ -116,7 +116,8 @@
 			"take": func(t *rapid.T) {
 				m := &model{class: rapid.IntRange(0, 1).Draw(t, "class"), asker: &asker{core: c}}
 				m.deadline = now + time.Duration(rapid.IntRange(0, 3000).Draw(t, "wait"))*ms
-				id := c.Take(now, Request{Asker: m.asker, ID: "0123456789abcdef", Class: m.class, Key: "00000000000000aa",
+				taken++
+				id := c.Take(now, Request{Asker: m.asker, ID: fmt.Sprintf("%016x", taken), Class: m.class, Key: "00000000000000aa",
 					Function: policy.FunctionID(rapid.IntRange(1, 3).Draw(t, "f")), Lanes: 1, LoadTime: 500 * ms,
 					Body: make([]byte, rapid.IntRange(0, 4000).Draw(t, "size")), Deadline: m.deadline})
 				if id == 0 { // turned away for want of room
@@ -278,3 +279,44 @@
 		t.Errorf("answers %+v, %d open", k.answers, c.Open())
 	}
 }
+
+// Guards against two open requests under one id, by whatever fronts and connections they come: the later
+// one fails and reaches no worker, and the id is free again once the first has ended.
+func TestIDOfAnOpenRequestIsNotTakenTwice(t *testing.T) {
+	c, w := newCore(t, 1)
+	c.SetList(policy.WorkerList{Kind: policy.ListWhole, Workers: []policy.WorkerEntry{{Worker: 1, State: policy.Ready}}})
+	take := func(f Front, body string) (policy.RequestID, *asker) {
+		k := &asker{core: c}
+		return c.Take(time.Hour, Request{Front: f, Asker: k, ID: "00000000000000aa", Function: 7, Body: []byte(body),
+			Deadline: time.Hour + 2*time.Second}), k
+	}
+	first, k := take(Thrift, "one")
+	c.Turn(time.Hour)
+	for _, f := range []Front{Thrift, Webhook} {
+		id, other := take(f, "other")
+		if c.Turn(time.Hour); id != 0 || len(other.answers) != 1 || other.answers[0].Verdict != Failed || c.Open() != 1 {
+			t.Fatalf("request %d has answers %+v, %d open", id, other.answers, c.Open())
+		}
+	}
+	c.AttemptEnded(w.runs[first][0], policy.Served, policy.WasWarm, []byte("done"), nil)
+	c.Turn(time.Hour + ms)
+	if len(k.answers) != 1 || string(k.answers[0].Body) != "done" || len(w.runs) != 1 || len(c.ids)+len(c.reqs) != 0 {
+		t.Fatalf("answers %+v, %d requests sent, %d ids kept", k.answers, len(w.runs), len(c.ids))
+	}
+	if id, _ := take(Thrift, "again"); id == 0 {
+		t.Error("the id of a request that has ended is still taken")
+	}
+}
+
+func TestParseKey(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		n := rapid.Uint64().Draw(t, "n")
+		if got, ok := ParseKey(fmt.Sprintf("%016x", n)); !ok || got != n {
+			t.Fatalf("read %x, %v", got, ok)
+		}
+		text := rapid.StringN(0, 20, 20).Draw(t, "text")
+		if got, ok := ParseKey(text); ok && fmt.Sprintf("%016x", got) != text {
+			t.Fatalf("read %q as %x", text, got)
+		}
+	})
+}
--- a/internal/thrift/front.go
+++ b/internal/thrift/front.go
@@ -2,9 +2,10 @@
 package thrift
 
 import (
+	"bytes"
 	"encoding/binary"
-	"encoding/hex"
 	"log"
+	"math"
 	"net/netip"
 	"strconv"
 	"strings"
@@ -16,12 +17,13 @@
 )
 
 // maxOpen is how many calls one connection may have open. Clients keep to 32, but may not have heard
-// of an end yet.
+// of an end yet. What goes beyond is refused, so that one that sends hundreds at once leaves room.
 const maxOpen = 64
 
 // Core is what the front hands requests to.
 type Core interface {
 	Take(now time.Duration, r router.Request) policy.RequestID
+	TurnAway(now time.Duration, r router.Request)
 	Leave(now time.Duration, id policy.RequestID)
 }
 
@@ -37,6 +39,8 @@
 	classes map[string]int
 	clock   func() time.Duration
 	ready   func() bool
+	closed  int // for breaking the protocol, since the log last told
+	told    time.Duration
 }
 
 // New returns a Front for classes of these names. Ready tells what check answers.
@@ -61,6 +65,8 @@
 	peer  netip.AddrPort
 	part  []byte // the beginning of a frame
 	open  map[uint32]*call
+	last  uint32 // the highest sequence number of a call
+	whole int    // messages
 	gone  bool
 }
 
@@ -74,12 +80,20 @@
 // Busy tells whether answers are owed.
 func (c *client) Busy() bool { return len(c.open) > 0 }
 
-// Data takes in frames, split in any way.
+// Messages is how many whole ones have come, and whether the beginning of another has.
+func (c *client) Messages() (whole int, begun bool) { return c.whole, len(c.part) > 0 }
+
+// Data takes in frames, split in any way. The beginning of one stays in a buffer that grows with it, so
+// that a frame that comes a few bytes at a time is not copied anew for each of them.
 func (c *client) Data(b []byte) {
+	if c.gone {
+		return
+	}
 	if len(c.part) > 0 {
-		b = append(c.part, b...)
-		c.part = nil
+		c.part = append(c.part, b...)
+		b = c.part
 	}
+	whole := c.whole
 	for len(b) >= 4 && !c.gone {
 		size := binary.BigEndian.Uint32(b)
 		if size > maxFrame {
@@ -91,19 +105,26 @@
 		}
 		frame := b[4 : 4+size]
 		b = b[4+size:]
+		c.whole++
 		if err := c.message(frame); err != nil {
 			c.reject(err)
 			return
 		}
 	}
-	if len(b) > 0 && !c.gone {
-		c.part = append([]byte(nil), b...) // a copy, so that a large read is not kept for its tail
+	if c.gone || len(c.part) > 0 && c.whole == whole {
+		return
 	}
+	c.part = append([]byte(nil), b...) // a copy, so that a large read is not kept for its tail
 }
 
 // reject closes the connection of a client that broke the protocol.
 func (c *client) reject(err error) {
-	log.Printf("event=client_closed front=thrift err=%q", err)
+	f := c.front
+	f.closed++
+	if now := f.clock(); now-f.told > time.Second { // not once for each: whoever can connect could fill the log
+		log.Printf("event=clients_closed front=thrift count=%d err=%q", f.closed, err)
+		f.closed, f.told = 0, now
+	}
 	c.line.Close()
 	c.leave()
 }
@@ -181,16 +202,23 @@
 	if err != nil {
 		return err
 	}
-	if len(c.open) >= maxOpen || c.open[m.seq] != nil || len(body) > maxBody {
+	// Numbers climb. Under one that was used before, an answer could be taken for the other call's.
+	if m.seq <= c.last || m.seq > math.MaxInt32 || len(body) > maxBody {
 		return errSyntax
 	}
+	c.last = m.seq
 	req, reason := c.front.request(fields)
 	if reason != "" {
 		c.line.Write(lost(m.seq, "reason", reason))
 		return nil
 	}
 	k := &call{client: c, seq: m.seq}
-	req.Asker, req.Body, req.Client = k, body, c.peer
+	req.Asker, req.Client = k, c.peer
+	if len(c.open) >= maxOpen {
+		c.front.core.TurnAway(c.front.clock(), req)
+		return nil
+	}
+	req.Body = bytes.Clone(body) // a large read is not kept for one small body in it
 	c.open[m.seq] = k
 	if id := c.front.core.Take(c.front.clock(), req); !k.done {
 		k.id = id
@@ -205,16 +233,16 @@
 		return r, "class"
 	}
 	r = router.Request{Front: router.Thrift, Class: class, ID: string(fields["id"]), Key: string(fields["key"])}
-	if _, ok := hex16(r.ID); !ok {
+	if _, ok := router.ParseKey(r.ID); !ok {
 		return r, "id"
 	}
-	key, ok := hex16(r.Key)
+	key, ok := router.ParseKey(r.Key)
 	if !ok {
 		return r, "key"
 	}
 	r.Function = policy.FunctionID(key)
 	wait, err := strconv.ParseFloat(string(fields["wait"]), 64)
-	if err != nil || !(wait >= 0 && wait < 1e9) {
+	if err != nil || !router.Within(wait, router.MaxWaitMs) {
 		return r, "wait"
 	}
 	r.Deadline = f.clock() + time.Duration(wait*1e6) - router.AnswerMargin
@@ -223,33 +251,22 @@
 		pair, text, _ = strings.Cut(text, ";")
 		name, value, _ := strings.Cut(pair, ":")
 		v, err := strconv.ParseFloat(value, 64)
-		if err != nil || !(v >= 0 && v < 1e9) {
-			return r, "props"
-		}
+		most := math.MaxFloat64
 		switch name {
 		case "memory_mb":
-			r.MemoryMB = v
+			r.MemoryMB, most = v, router.MaxMemoryMB
 		case "lanes":
-			r.Lanes = v
+			r.Lanes, most = v, router.MaxLanes
 		case "load_ms":
-			r.LoadTime = time.Duration(v * 1e6)
+			r.LoadTime, most = time.Duration(v*1e6), router.MaxLoadMs
+		}
+		if err != nil || !router.Within(v, most) {
+			return r, "props"
 		}
 	}
 	return r, ""
 }
 
-// hex16 reads 16 hex digits.
-func hex16(s string) (uint64, bool) {
-	var b [8]byte
-	if len(s) != 16 {
-		return 0, false
-	}
-	if _, err := hex.Decode(b[:], []byte(s)); err != nil {
-		return 0, false
-	}
-	return binary.BigEndian.Uint64(b[:]), true
-}
-
 // Answered writes the final answer. A client that has left is owed none.
 func (k *call) Answered(a router.Answer) {
 	if k.done {
--- a/internal/thrift/thrift_test.go
+++ b/internal/thrift/thrift_test.go
@@ -18,12 +18,17 @@
 type core struct {
 	taken []router.Request
 	left  []policy.RequestID
+	away  int
 }
 
 func (c *core) Take(_ time.Duration, r router.Request) policy.RequestID {
 	c.taken = append(c.taken, r)
 	return policy.RequestID(len(c.taken))
 }
+func (c *core) TurnAway(_ time.Duration, r router.Request) {
+	c.away++
+	r.Asker.Answered(router.Answer{Verdict: router.Refused})
+}
 func (c *core) Leave(_ time.Duration, id policy.RequestID) { c.left = append(c.left, id) }
 
 func newClient() (*client, *core, *standin.Line) {
@@ -174,3 +179,90 @@
 		}
 	}
 }
+
+// Guards the figures: what no worker could use, and what is no number, is answered with a failure and
+// passed on to nobody.
+func TestFiguresOutOfRangeAreNotPassedOn(t *testing.T) {
+	for at, values := range map[int][]string{
+		1: {"", "nonsense", "repair-order\r\n"},
+		3: {"", "9B1F03AA5C7E2D41", "9b1f03aa5c7e2d4", "9b1f03aa5c7e2d411", "9b1f03aa5c7e2d4\n"},
+		5: {"", "-1", "NaN", "Inf", "1e300", "600001", "0x10p400"},
+		7: {"", "7F3A9C21E0B4D655", "7f3a9c21e0b4d65g"},
+		9: {"memory_mb:-1", "memory_mb:NaN", "memory_mb:1e9", "lanes:1e8", "lanes:-0.1", "load_ms:1e7", "load_ms:", "lanes", "other:x"},
+	} {
+		for _, v := range values {
+			c, k, l := newClient()
+			fields := append([]string(nil), good...)
+			fields[at] = v
+			c.Data(execute(1, "", fields...))
+			if _, field := outcome(t, l); len(k.taken) != 0 || field != 2 {
+				t.Errorf("%s %q: %d taken, answer has field %d", good[at-1], v, len(k.taken), field)
+			}
+		}
+	}
+}
+
+// Guards against a sequence number that is used again, whether its call is open or has been answered: an
+// answer could be taken for the other call's.
+func TestSequenceNumbersClimb(t *testing.T) {
+	for _, answered := range []bool{true, false} {
+		for again := range uint32(3) {
+			c, k, l := newClient()
+			c.Data(execute(2, "", good...))
+			if answered {
+				k.taken[0].Asker.Answered(router.Answer{})
+			}
+			c.Data(execute(again, "", good...))
+			c.Data(execute(5, "", good...))
+			if len(k.taken) != 1 || !l.HasClosed || c.Busy() {
+				t.Errorf("number %d behind 2: %d taken, closed %v", again, len(k.taken), l.HasClosed)
+			}
+		}
+	}
+}
+
+// Guards the others' room: calls beyond the limit on one connection are refused, each with an answer, and
+// those within it go on.
+func TestCallsBeyondTheLimitAreRefused(t *testing.T) {
+	c, k, l := newClient()
+	for i := range uint32(200) {
+		c.Data(execute(i+1, "", good...))
+	}
+	if len(k.taken) != maxOpen || k.away != 200-maxOpen || l.HasClosed || len(c.open) != maxOpen {
+		t.Fatalf("%d taken, %d turned away, closed %v", len(k.taken), k.away, l.HasClosed)
+	}
+	for i := range uint32(200 - maxOpen) {
+		if seq, field := outcome(t, l); seq != maxOpen+1+i || field != 1 {
+			t.Fatalf("answer to %d has field %d", seq, field)
+		}
+	}
+	k.taken[0].Asker.Answered(router.Answer{})
+	if c.Data(execute(201, "", good...)); len(k.taken) != maxOpen+1 {
+		t.Error("no room after an answer")
+	}
+}
+
+// Guards memory and time: the beginning of a frame is not copied anew for each byte, and one small body
+// does not keep the whole read that it came in.
+func TestReadsAreNeitherCopiedOverNorKept(t *testing.T) {
+	c, k, _ := newClient()
+	whole := execute(1, string(make([]byte, maxBody)), good...)
+	allocs := testing.AllocsPerRun(1, func() {
+		for i := range whole {
+			c.Data(whole[i : i+1])
+		}
+		if n, begun := c.Messages(); n != 1 && begun {
+			t.Errorf("%d whole messages, another begun: %v", n, begun)
+		}
+	})
+	if allocs > 80 || len(k.taken) != 1 || len(k.taken[0].Body) != maxBody {
+		t.Errorf("%v allocations, %d taken", allocs, len(k.taken))
+	}
+	c, k, _ = newClient()
+	read := append(execute(1, "small", good...), make([]byte, 3)...)
+	c.Data(read)
+	clear(read)
+	if string(k.taken[0].Body) != "small" {
+		t.Error("the body points into the read")
+	}
+}
--- a/internal/webhook/receiver.go
+++ b/internal/webhook/receiver.go
@@ -12,7 +12,6 @@
 	"fmt"
 	"log"
 	"net/netip"
-	"strconv"
 	"time"
 
 	"crankhold/internal/loop"
@@ -21,10 +20,9 @@
 )
 
 const (
-	maxOutcomes  = 20000       // remembered deliveries; beyond it new ones are refused
-	maxOutcomeMB = 16          // and the bodies of their answers together
-	maxDrain     = 256 << 10   // bytes read and dropped behind a malformed request
-	refusedFor   = time.Second // Retry-After where the module gives no advice
+	maxOutcomes = 20000       // remembered deliveries; beyond it new ones are refused
+	maxDrain    = 256 << 10   // bytes read and dropped behind a malformed request
+	refusedFor  = time.Second // Retry-After where the module gives no advice
 )
 
 // Core is what the receiver hands calls to.
@@ -64,6 +62,7 @@
 	ledger   *ledger
 	outcomes map[string]*outcome
 	bytes    int
+	most     int           // bytes of answers' bodies that are remembered; beyond it new deliveries are refused
 	quiet    time.Duration // no complaint is logged before
 	Count    Counters
 }
@@ -97,10 +96,11 @@
 
 const callType = "call.requested"
 
-// NewReceiver reads the keys and the ledger. Post runs a function on the loop's goroutine.
-func NewReceiver(cfg *Config, core Core, classes []Class, clock func() time.Duration, wall func() time.Time,
+// NewReceiver reads the keys and the ledger. It remembers at most so many bytes of answers. Post runs a
+// function on the loop's goroutine.
+func NewReceiver(cfg *Config, core Core, classes []Class, most int, clock func() time.Duration, wall func() time.Time,
 	post func(func())) (*Receiver, error) {
-	v := &Receiver{cfg: cfg, core: core, classes: map[string]int{}, list: classes, clock: clock, wall: wall, post: post,
+	v := &Receiver{cfg: cfg, core: core, classes: map[string]int{}, list: classes, most: most, clock: clock, wall: wall, post: post,
 		outcomes: map[string]*outcome{}}
 	for i, c := range classes {
 		v.classes[c.Name] = i
@@ -155,12 +155,19 @@
 	gone    bool
 	pending bool // an answer is owed
 	last    bool
+	whole   int // requests
 	drained int // bytes read and dropped behind the last answer
 }
 
 // Busy tells whether an answer is owed.
 func (c *client) Busy() bool { return c.pending }
 
+// Messages is how many whole requests have come, and whether the beginning of another has; what a client
+// sends behind the last answer is no more than that.
+func (c *client) Messages() (whole int, begun bool) {
+	return c.whole, c.gone || c.req != nil || len(c.buf) > 0
+}
+
 // Data takes in requests, split in any way.
 func (c *client) Data(b []byte) {
 	if c.gone {
@@ -202,6 +209,7 @@
 		r, body := c.req, c.buf[:c.req.length:c.req.length]
 		c.req, c.buf = nil, append([]byte(nil), c.buf[c.req.length:]...)
 		c.last, c.pending = r.last, true
+		c.whole++
 		c.front.handle(c, r, body)
 	}
 }
@@ -271,7 +279,7 @@
 		c.answer(400, nil, 0)
 		return
 	}
-	if len(v.outcomes) >= maxOutcomes || v.bytes > maxOutcomeMB<<20 {
+	if len(v.outcomes) >= maxOutcomes || v.bytes > v.most {
 		c.answer(503, nil, refusedFor)
 		return
 	}
@@ -332,19 +340,16 @@
 		return r, at, fmt.Errorf("type is not %s", callType)
 	case !ok:
 		return r, at, errors.New("unknown class")
-	case len(p.Data.Key) != 16:
-		return r, at, errors.New("key is not 16 hex digits")
 	case len(p.Data.Body) > maxCall:
 		return r, at, errors.New("body is too long")
 	}
-	f, err := strconv.ParseUint(p.Data.Key, 16, 64)
-	if err != nil {
-		return r, at, errors.New("key is not 16 hex digits")
+	f, ok := router.ParseKey(p.Data.Key)
+	if !ok {
+		return r, at, errors.New("key is not 16 hex digits in lower case")
 	}
-	for _, n := range []float64{p.Data.WaitMs, p.Data.MemoryMB, p.Data.Lanes, p.Data.LoadMs} {
-		if !(n >= 0 && n < 1e9) {
-			return r, at, errors.New("a figure is out of range")
-		}
+	if !router.Within(p.Data.WaitMs, router.MaxWaitMs) || !router.Within(p.Data.MemoryMB, router.MaxMemoryMB) ||
+		!router.Within(p.Data.Lanes, router.MaxLanes) || !router.Within(p.Data.LoadMs, router.MaxLoadMs) {
+		return r, at, errors.New("a figure is out of range")
 	}
 	k, l := v.list[class], v.cfg.Receiver.Ledger
 	// What is older than the ledger reaches may have run and been forgotten.
--- a/internal/webhook/webhook_test.go
+++ b/internal/webhook/webhook_test.go
@@ -57,7 +57,7 @@
 // newReceiver returns a receiver; what it posts comes through the channel.
 func newReceiver(t rapid.TB, c Core, ledger string) (*Receiver, chan func()) {
 	posts := make(chan func(), 100)
-	v, err := NewReceiver(testConfig(ledger), c, classes, func() time.Duration { return time.Hour }, wall, func(f func()) { posts <- f })
+	v, err := NewReceiver(testConfig(ledger), c, classes, 16<<20, func() time.Duration { return time.Hour }, wall, func(f func()) { posts <- f })
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -393,7 +393,7 @@
 	p.core = router.New(module, router.Limits{MaxOpen: 100, MaxBytes: 1 << 20, MaxAttempts: 3, ProbeTimeout: time.Second})
 	p.core.Use(p)
 	p.core.SetList(policy.WorkerList{Kind: policy.ListWhole, Workers: []policy.WorkerEntry{{Worker: 1, State: policy.Ready}, {Worker: 2, State: policy.Ready}}})
-	if p.front, err = NewReceiver(testConfig(ledger), p.core, classes, p.lp.Now, wall, p.lp.Post); err != nil {
+	if p.front, err = NewReceiver(testConfig(ledger), p.core, classes, 16<<20, p.lp.Now, wall, p.lp.Post); err != nil {
 		t.Fatal(err)
 	}
 	p.front.keys = []key{{secret: secret}, {retired, noon}}
