--- a/policy/policy.go
+++ b/policy/policy.go
@@ -28,6 +28,7 @@
 	clip       = 3                     // an answer counts as at most this multiple of the estimate
 	loadRate   = 0.2                   // weight of one load in the ratio of real to told load time
 	unheardRun = 0.25                  // part of the wanted time that a run takes until we know better
+	laneLoad   = 0.3                   // part of a load that a call beyond the lanes waits or has others pay
 
 	newsBytes = 16  // a worker and a function; 16 of them fill a message
 	likely    = 0.5 // a chance that is counted on where a wrong guess costs little
@@ -115,6 +116,7 @@
 	warmUntil, told time.Duration // told: when we last told the others
 	loading         time.Duration // a load under way is expected to end then; 0: none
 	inFlight        int
+	lanes           int        // calls of ours that it was seen to serve at a time
 	ordered         bool       // our order is out
 	parked          []*request // wait for its answer
 }
@@ -340,7 +342,7 @@
 			p.fleet = append(p.fleet, w)
 		} else if e.Started > w.Started { // a new process: nothing we believe of the old one holds
 			for _, i := range w.copies {
-				i.warmUntil, i.loading = 0, 0
+				i.warmUntil, i.loading, i.lanes = 0, 0, 0
 			}
 			w.cold, w.luck, w.strikes, w.aside = e.Started, p.rng.Float64(), 0, 0
 			w.slope, w.delay = fit{}, drift{}
@@ -452,6 +454,9 @@
 func (p *Policy) predict(w *worker, r *request) float64 {
 	score := p.queueing(w, len(w.out)) + p.run(r) + p.loadLeft(w, r) +
 		w.fails[r.Class].now(p.now)*float64(r.deadline-p.now) // who is not served waits in vain
+	if i := w.copies[r.fn.id]; i != nil && float64(i.inFlight) >= max(r.Lanes, 1, float64(i.lanes)) {
+		score += laneLoad * p.loadTime(r.fn) // no lane is free, as far as we know: w may begin a further copy
+	}
 	if len(w.out) > 0 { // censored data: it has been silent for longer than expected of its oldest attempt
 		score += max(0, float64(p.now-max(w.heard, w.out[0].sent)-w.out[0].expected))
 	}
@@ -676,7 +681,7 @@
 	case Errored, Full, Missed:
 		p.alive(w)
 		if e.Outcome == Missed || e.Note == LoadFailed {
-			i.warmUntil, i.loading = 0, 0
+			i.warmUntil, i.loading, i.lanes = 0, 0, 0
 		} else if e.Outcome == Full && i.inFlight == 0 && !i.ordered { // it began no load
 			i.loading = 0
 		}
@@ -725,7 +730,7 @@
 	if !a.cold && e.Note <= WasWarm { // a guessed load may be a queue
 		p.sawDelay(float64(e.Took), c.Aim)
 	}
-	i.warmUntil, i.loading = p.now+p.cfg.KeepAlive, 0
+	i.warmUntil, i.loading, i.lanes = p.now+p.cfg.KeepAlive, 0, max(i.lanes, i.inFlight+1)
 	p.tell(i, f)
 	if took < float64(c.Aim) {
 		f.jams *= fitKeep
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -107,6 +107,49 @@
 	}
 }
 
+// Guards the store and the memory: a call that finds all lanes of a copy taken goes to another worker's
+// copy, where one is known, before the first worker begins a further copy by itself. Lanes that were seen
+// to serve together count, until a miss shows that the copies have gone.
+func TestCallsGoWhereALaneIsFree(t *testing.T) {
+	send := func(b *bed) (RequestID, WorkerID) {
+		b.id++
+		s, ok := first[Send](b.do(Arrived{Request: b.id, Function: 7, Lanes: 1, LoadTime: time.Second, Left: 4 * time.Second}))
+		if !ok {
+			b.t.Fatal("not sent")
+		}
+		return b.id, s.Worker
+	}
+	served := func(b *bed, id RequestID, w WorkerID, note Note) {
+		b.now += 80 * ms
+		b.do(AttemptEnded{Request: id, Worker: w, Outcome: Served, Note: note, Closed: true, Took: 80 * ms})
+	}
+	b := newBed(t, config(), 2)
+	for _, w := range []WorkerID{1, 2} { // both hold a copy; queueing at 2 looks a little worse
+		b.p.workers[w].instance(7).warmUntil = b.now + 10*time.Second
+		b.p.workers[w].delay.see(b.now, float64(w-1)*float64(20*ms))
+	}
+	one, at1 := send(b)
+	two, at2 := send(b)
+	if at1 != 1 || at2 != 2 {
+		t.Fatalf("sent to %d, then to %d", at1, at2)
+	}
+	served(b, one, at1, WasWarm)
+	served(b, two, at2, WasWarm)
+	b.p.workers[1].instance(7).lanes = 2 // two were served at a time
+	b.p.workers[2].delay.see(b.now, float64(100*ms))
+	if _, at1 = send(b); at1 != 1 {
+		t.Fatalf("sent to %d", at1)
+	}
+	id, at2 := send(b)
+	if at2 != 1 {
+		t.Fatalf("sent to %d though a second lane was seen", at2)
+	}
+	b.do(AttemptEnded{Request: id, Worker: 1, Outcome: Missed})
+	if n := b.p.workers[1].instance(7).lanes; n != 0 {
+		t.Errorf("%d lanes are believed in after a miss", n)
+	}
+}
+
 func TestRestartEndsWarmBelief(t *testing.T) {
 	b := newBed(t, config(), 3)
 	w := b.serve(7, 1100*ms, BeganLoad)
