Keep answers that are yet to leave, and calls on their way, when making room

Cause, by reading loop.go beside the turn's order: a worker's answer is queued on its client's connection while the turn's items are handed out, and written at the end of the turn. A connect later in the same turn called evict, which took the connection whose last message was oldest and that owed nothing: the one just answered, before the flush. fail drops what is queued. The failures came with the order in which room is made since: connections that never sent a whole message went first, and at this rate those are the ones just accepted, whose request is still unread.

Now a connection that owes or has something to leave is kept, it is idle from its last answer on, and only one that said nothing for 250 ms counts as silent.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -32,6 +32,10 @@
 	idleAfter     = 15 * time.Second
 	messageWithin = 2500 * time.Millisecond
 
+	// askAfter is how long a client may take from its connect to its message before its connection counts
+	// as one that says nothing and is the first to make room.
+	askAfter = 250 * time.Millisecond
+
 	sweepEvery  = 200 * time.Millisecond
 	acceptPause = 20 * time.Millisecond
 	epoch       = time.Hour // the clock's first reading, so that earlier instants are positive too
@@ -130,7 +134,7 @@
 	out    [][]byte
 	unread atomic.Int64  // bytes that the peer has yet to take
 	whole  int           // messages that have come
-	heard  time.Duration // when the last of them came, or the connection
+	heard  time.Duration // when the last of them came or was answered, or the connection came
 	begun  time.Duration // when the beginning of the next one came; 0: none has
 	isUp   bool
 	closed bool
@@ -367,17 +371,17 @@
 	}
 }
 
-// evict closes an accepted connection on which nothing is owed, to make room: of those that never sent a
-// whole message the oldest, and where there is none the one that has been idle for longest. Connections
-// that are opened by hundreds and say nothing so end each other, and not those of clients that asked.
+// evict closes an accepted connection on which nothing is owed, to make room: the oldest of those that
+// should have sent a message and did not, else the one that has been idle for longest, and one that has
+// only just come if there is no other. Connections that are opened by hundreds and say nothing so end each
+// other, and neither those of clients that asked nor those whose request is on its way.
 func (l *Loop) evict() bool {
 	var idle *Conn
 	for c := range l.accepted {
-		if c.closed || c.h.(Accepted).Busy() {
+		if c.closed || c.owes() {
 			continue
 		}
-		if idle == nil || (c.whole == 0) != (idle.whole == 0) && c.whole == 0 ||
-			(c.whole == 0) == (idle.whole == 0) && c.heard < idle.heard {
+		if idle == nil || c.rank() < idle.rank() || c.rank() == idle.rank() && c.heard < idle.heard {
 			idle = c
 		}
 	}
@@ -387,6 +391,23 @@
 	return idle != nil
 }
 
+// rank orders the accepted connections by which is to make room first.
+func (c *Conn) rank() int {
+	switch {
+	case c.whole > 0:
+		return 1
+	case c.loop.now-c.heard > askAfter:
+		return 0
+	}
+	return 2
+}
+
+// owes tells whether an answer is owed on an accepted connection, or has been given and is yet to leave:
+// closing drops what is queued, and with it the only answer to a request.
+func (c *Conn) owes() bool {
+	return c.h.(Accepted).Busy() || len(c.out) > 0 || c.unread.Load() > 0
+}
+
 func (l *Loop) sweep() {
 	l.swept = l.now
 	for c := range l.accepted {
@@ -403,6 +424,8 @@
 // late tells whether an accepted connection has had its time.
 func (c *Conn) late() bool {
 	switch {
+	case c.unread.Load() > 0: // it reads slowly, or not at all
+		return c.loop.now-c.heard > idleAfter
 	case c.begun > 0:
 		return c.loop.now-c.begun > messageWithin
 	case c.whole == 0:
@@ -449,6 +472,9 @@
 	if len(c.out) == 0 {
 		c.loop.dirty = append(c.loop.dirty, c)
 	}
+	if c.whole > 0 {
+		c.heard = c.loop.now // it is idle from its last answer on, however long that took
+	}
 	c.out = append(c.out, bufs...)
 }
 
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -212,7 +212,8 @@
 }
 
 // Guards clients that asked against connections that are opened by hundreds and say nothing: those make
-// room for each other, the oldest first.
+// room for each other, the oldest first. One that has only just come may have its request on the way, and
+// one whose answer is queued or not yet read would lose it.
 func TestSilentConnectionsMakeRoomFirst(t *testing.T) {
 	l := New(Config{})
 	add := func(whole int, busy bool, heard time.Duration) *Conn {
@@ -220,16 +221,24 @@
 		l.accepted[c] = struct{}{}
 		return c
 	}
-	order := []*Conn{add(0, false, 5), add(0, false, 6), add(1, false, 1), add(3, false, 2)}
+	now := l.now
+	order := []*Conn{add(0, false, now-2*askAfter), add(0, false, now-askAfter-1), add(1, false, now-1000*askAfter),
+		add(3, false, now-2), add(0, false, now-askAfter), add(0, false, now)}
 	busy := add(0, true, 0)
+	queued, unread := add(1, false, 0), add(1, false, 0)
+	queued.Write([]byte("answer"))
+	unread.owe(1)
 	for i, c := range order {
 		if !l.evict() || !c.closed {
 			t.Fatalf("connection %d was not the one to make room", i)
 		}
 	}
-	if l.evict() || busy.closed {
+	if l.evict() || busy.closed || queued.closed || unread.closed {
 		t.Error("a connection that is owed an answer made room")
 	}
+	if queued.heard != now {
+		t.Error("a connection counts as idle though it was just answered")
+	}
 }
 
 // Guards the descriptors: while the loop is held up no more than a few connections are accepted.
