Find a cut-off worker connection sooner, by what the worker answered that was sent later

pool.go took any answer on another connection after the ping as proof, one to an older call too, and so had to wait 500 ms to be sure. Now the proof is an answer to what was sent after the ping, which lets 150 ms of quiet and 250 ms without a sign of life do, and a begun answer has 0.6 s (was 1 s).

Orders on such a connection fail all the same: they may have run.

--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -22,10 +22,10 @@
 
 	// A connection with calls out on which no whole answer came for quietAfter is asked for a sign of
 	// life and takes nothing new meanwhile. It ends once it has given none for deadAfter though the
-	// worker has answered on another one since.
-	quietAfter = 300 * time.Millisecond
-	deadAfter  = 500 * time.Millisecond
-	stuckAfter = time.Second // the rest of an answer that has begun is not waited for any longer
+	// worker has answered, on another one, what was sent after that.
+	quietAfter = 150 * time.Millisecond
+	deadAfter  = 250 * time.Millisecond
+	stuckAfter = 600 * time.Millisecond // the rest of an answer that has begun is not waited for any longer
 
 	partKept = 4 << 10 // a larger buffer is let go once it is empty
 )
@@ -36,7 +36,7 @@
 )
 
 // SweepEvery is how often Sweep is to be called.
-const SweepEvery = 100 * time.Millisecond
+const SweepEvery = 50 * time.Millisecond
 
 // Sink takes what came of calls, orders and probes; a router.Core is one.
 type Sink interface {
@@ -115,6 +115,7 @@
 	runs    int
 	used    time.Duration
 	heard   time.Duration // when the last whole answer came
+	proved  time.Duration // when the latest of the calls was sent that have been answered
 	pinged  time.Duration // when it was asked for a sign of life that hasn't come; 0: it was not
 	part    []byte        // the beginning of an answer
 	begun   time.Duration // when that came
@@ -306,7 +307,7 @@
 		c.send(k)
 		return
 	}
-	if now-c.pinged > deadAfter && slices.ContainsFunc(c.w.conns, func(o *conn) bool { return o.heard > c.pinged }) {
+	if now-c.pinged > deadAfter && slices.ContainsFunc(c.w.conns, func(o *conn) bool { return o.proved > c.pinged }) {
 		c.fault(errSilent)
 	}
 }
@@ -573,7 +574,7 @@
 		return errSyntax // answered before it was sent
 	}
 	c.take(k)
-	c.used = c.pool.now
+	c.used, c.proved = c.pool.now, max(c.proved, k.sent)
 	switch k.kind {
 	case ping:
 	case hold:
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -311,6 +311,7 @@
 		if got := (*lines)[0].Wrote.String(); strings.Count(got, "NOOP") != 1 {
 			t.Fatalf("not asked for a sign of life: %q", got)
 		}
+		pass(SweepEvery)
 		p.Run(1, b, request("00000000000000b2"), time.Second)
 		if on := ran(*lines, "00000000000000b2"); len(*lines) != 2 || len(on) != 0 {
 			t.Fatalf("a silent connection was chosen, of %d", len(*lines))
@@ -319,6 +320,9 @@
 		if pass(SweepEvery); well {
 			(*lines)[1].h.Data(reply("00000000000000b2", "HIT", ""))
 		}
+		if (*lines)[0].HasClosed {
+			t.Fatal("closed before its time for a sign of life was up")
+		}
 		pass(deadAfter + SweepEvery)
 		if (*lines)[0].HasClosed != well {
 			t.Errorf("worker well: %v, silent connection closed: %v", well, (*lines)[0].HasClosed)
@@ -346,16 +350,16 @@
 	l := (*lines)[0]
 	l.h.Opened(nil)
 	whole := reply("00000000000000a1", "HIT", strings.Repeat("x", 1000))
-	for i := range 12 {
+	for i := range int(stuckAfter/SweepEvery) + 2 {
 		p.Sweep(time.Hour + time.Duration(i)*SweepEvery)
 		if !l.HasClosed {
 			l.h.Data(whole[i*3 : i*3+3])
 		}
 	}
-	if p.Sweep(time.Hour + 12*SweepEvery); !l.HasClosed {
+	if !l.HasClosed {
 		t.Fatal("the rest of an answer is still waited for")
 	}
-	l.h.Data(whole[36:]) // too late: nothing that follows counts
+	l.h.Data(whole[3*(int(stuckAfter/SweepEvery)+2):]) // too late: nothing that follows counts
 	if len(s.ended[a]) != 0 {
 		t.Errorf("ended %v by what came after the close", s.ended[a])
 	}
