After a reset try the worker with the copy again; a broken connection is one failure

In ended() of policy.go each of them shunned its worker for the repeat, so it went to one without the copy, and each counted as a failure there, which makes the class avoid a worker that is well for about 3 s.

Checked: sockets agree; on garble all 47 to 53 closed connections were to workers that answered the probe at once. A worker whose process died refuses the repeat's dial, which proves that it never ran and sets the worker aside, as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -671,7 +671,9 @@
 		r.ran = a
 	}
 	e.Took = min(max(e.Took, 0), time.Hour)
-	r.shunned = append(r.shunned, w) // read only if another attempt follows
+	if e.Outcome != Reset || a.number > 0 { // a connection may break alone: its worker still has the copy
+		r.shunned = append(r.shunned, w) // read only if another attempt follows
+	}
 	switch e.Outcome {
 	case Served:
 		p.alive(w)
@@ -696,9 +698,11 @@
 			w.delay.see(p.now, max(clip*p.run(r), w.delay.now(p.now)))
 		}
 	case Reset: // its process died, or only this answer was lost: a probe tells
-		w.fails[r.Class].see(p.now, 1)
-		if !w.probing && !p.probe(w) {
-			p.strike(w)
+		if !w.probing { // one sign, however many calls were on the connection
+			w.fails[r.Class].see(p.now, 1)
+			if !p.probe(w) {
+				p.strike(w)
+			}
 		}
 	case Unreachable:
 		p.strike(w)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -150,6 +150,37 @@
 	}
 }
 
+// Guards against a load for each call whose connection broke: the worker that holds the copy is tried once
+// more, over another connection. Where that ends badly too the call goes elsewhere.
+func TestBrokenConnectionDoesNotSendACallToAColdWorker(t *testing.T) {
+	for _, again := range []Outcome{Reset, Unreachable} {
+		b := newBed(t, config(), 3)
+		w := b.serve(7, 1100*ms, BeganLoad)
+		for range 20 {
+			b.serve(7, 80*ms, WasWarm)
+		}
+		others, _ := b.arrive(0, 7) // on the same connection
+		id, acts := b.arrive(0, 7)
+		if s, _ := first[Send](acts); s.Worker != w {
+			t.Fatalf("warm at %d, sent to %d", w, s.Worker)
+		}
+		b.now += 10 * ms
+		probes := b.do(AttemptEnded{Request: others, Worker: w, Outcome: Reset, Took: 10 * ms})
+		n := b.p.workers[w].fails[0].n
+		acts = b.do(AttemptEnded{Request: id, Worker: w, Outcome: Reset, Took: 10 * ms})
+		if s, ok := first[Send](acts); !ok || s.Worker != w || !has[Probe](probes) || has[Probe](acts) {
+			t.Fatalf("after a reset: %v, %v", probes, acts)
+		}
+		if b.p.workers[w].fails[0].n != n {
+			t.Error("one broken connection counts as two failures")
+		}
+		acts = b.do(AttemptEnded{Request: id, Attempt: 1, Worker: w, Outcome: again})
+		if s, ok := first[Send](acts); !ok || s.Worker == w {
+			t.Errorf("after outcome %d of the second: %v", again, acts)
+		}
+	}
+}
+
 func TestRestartEndsWarmBelief(t *testing.T) {
 	b := newBed(t, config(), 3)
 	w := b.serve(7, 1100*ms, BeganLoad)
