Set no worker aside for a connection that broke under a probe or an order to load

A trace of whom the module leaves out, each half second, had up to four of the six set aside at once by the fifth second, with no dial refused and no silence; calls then load elsewhere (20 misses of 85 calls in half a second).

Cause: resp/pool.go reported a probe whose connection was reset as reset and probedBack in policy.go sets the worker aside for that; loadEnded did so for a reset order without a probe. On the sockets these workers answered all other connections.

Now such a probe goes over a new connection, twice at most (a process that died refuses it), and a reset order calls for a probe and leaves its waiting calls with the worker, since the order stands.

--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -27,6 +27,8 @@
 	deadAfter  = 250 * time.Millisecond
 	stuckAfter = 600 * time.Millisecond // the rest of an answer that has begun is not waited for any longer
 
+	probeTries = 2 // times that a probe is sent again after its connection broke
+
 	partKept = 4 << 10 // a larger buffer is let go once it is empty
 )
 
@@ -90,6 +92,7 @@
 	body    []byte
 	conn    *conn
 	written bool
+	broken  int // probe: connections that ended under it
 	sent    time.Duration
 }
 
@@ -499,6 +502,13 @@
 	clear(c.open)
 	c.queue = nil
 	for _, k := range open {
+		if k.kind == probe && o == policy.Reset && k.broken < probeTries {
+			// A connection that breaks tells nothing of its worker, which others may well be using. Over a
+			// new one a worker that died refuses, and one that is well answers.
+			again := &call{kind: probe, tag: k.tag, token: k.token, broken: k.broken + 1, head: array("INFO", k.token)}
+			c.pool.ask(w.id, again, false)
+			continue
+		}
 		c.pool.end(k, o)
 	}
 }
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -386,6 +386,33 @@
 	}
 }
 
+// Guards workers that are well against connections that break under a probe: it goes over another one, so
+// that only a worker that refuses, or breaks them all, counts as having failed it.
+func TestProbeOutlivesItsConnection(t *testing.T) {
+	for name, c := range map[string]struct {
+		resets int
+		last   func(l *line)
+		want   policy.Outcome
+	}{
+		"well":   {1, func(l *line) { l.h.Opened(nil); l.h.Data([]byte("*2\r\n$2\r\np7\r\n$4\r\nPONG\r\n")) }, policy.Served},
+		"died":   {1, func(l *line) { l.h.Opened(errors.New("refused")) }, policy.Unreachable},
+		"breaks": {probeTries, func(l *line) { l.h.Opened(nil); l.h.Closed(errors.New("reset")) }, policy.Reset},
+	} {
+		p, s, lines := newPool()
+		p.Probe(1, 7)
+		for i := range c.resets {
+			(*lines)[i].h.Opened(nil)
+			if (*lines)[i].h.Closed(errors.New("reset")); len(s.asked[7]) != 0 || len(*lines) != i+2 {
+				t.Fatalf("%s: ended %v on %d connections", name, s.asked[7], len(*lines))
+			}
+		}
+		c.last((*lines)[c.resets])
+		if len(s.asked[7]) != 1 || s.asked[7][0] != c.want || len(*lines) != c.resets+1 {
+			t.Errorf("%s: ended %v on %d connections", name, s.asked[7], len(*lines))
+		}
+	}
+}
+
 // Guards the descriptors: connections to all workers together are bounded, and an idle one makes room.
 func TestConnectionsAreBoundedTogether(t *testing.T) {
 	p, s, lines := newPool()
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -854,13 +854,15 @@
 		}
 	case Errored:
 		p.loadFailed(1)
-	case Reset, Unreachable:
-		p.strike(w)
+	case Reset, Unreachable: // a connection may break alone: a probe tells
+		if e.Outcome == Unreachable || !w.probing && !p.probe(w) {
+			p.strike(w)
+		}
 	}
 	parked := i.parked
 	i.parked = nil
 	for _, r := range parked { // elsewhere, unless it stands
-		if e.Outcome != Served {
+		if e.Outcome != Served && e.Outcome != Reset {
 			r.shunned = append(r.shunned, w)
 		}
 		p.place(r)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -181,6 +181,27 @@
 	}
 }
 
+// Guards a worker that is well against an order to load whose connection broke: a probe tells, and until
+// then neither is the worker set aside nor do the calls that wait for the load go elsewhere.
+func TestBrokenConnectionOfAnOrderSetsNoWorkerAside(t *testing.T) {
+	for _, o := range []Outcome{Reset, Unreachable} {
+		cfg := config()
+		cfg.MissWhenCold, cfg.MayOrder = true, true
+		b := newBed(t, cfg, 3)
+		id, acts := b.arrive(0, 7)
+		s, _ := first[Send](acts)
+		if acts = b.do(AttemptEnded{Request: id, Worker: s.Worker, Outcome: Missed}); !has[OrderLoad](acts) {
+			t.Fatalf("after a miss: %v", acts)
+		}
+		acts = b.do(LoadEnded{Worker: s.Worker, Function: 7, Outcome: o})
+		aside := b.p.looksBad(b.p.workers[s.Worker])
+		if next, ok := first[Send](acts); !ok || aside != (o == Unreachable) || has[Probe](acts) != (o == Reset) ||
+			o == Unreachable && next.Worker == s.Worker {
+			t.Errorf("after outcome %d of the order: %v, aside %v", o, acts, aside)
+		}
+	}
+}
+
 func TestRestartEndsWarmBelief(t *testing.T) {
 	b := newBed(t, config(), 3)
 	w := b.serve(7, 1100*ms, BeganLoad)
