--- /dev/null
+++ b/internal/command/command.go
@@ -0,0 +1,173 @@
+// Package command is the program's command line. It parses arguments, calls the packages that do the work, and
+// prints; exit statuses are 0 for good, 1 for a finding (faults, differences, a refused call, a service that
+// could not go on) and 2 for what could not be understood or read at all. Only cmd/crankhold calls it.
+package command
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"io/fs"
+	"log/slog"
+	"os"
+	"runtime"
+	"runtime/debug"
+
+	"github.com/alecthomas/kong"
+
+	"crankhold/internal/logs"
+	"crankhold/internal/platform"
+	"crankhold/internal/service"
+)
+
+// Exit statuses.
+const (
+	good    = 0
+	finding = 1
+	usage   = 2
+)
+
+// Env is what a command reaches of the system.
+type Env struct {
+	Out, Err io.Writer
+	Getenv   func(string) string
+}
+
+// System returns the process's own.
+func System() Env { return Env{os.Stdout, os.Stderr, os.Getenv} }
+
+// cli is the command line.
+type cli struct {
+	LogLevel string `help:"Lowest level of log lines: debug, info, warn or error." default:"info" env:"CRANKHOLD_LOG_LEVEL" name:"log-level"`
+
+	Serve   serveCmd   `cmd:"" default:"1" help:"Serve calls. The platform's JSON configuration is the file that EDGE_CONFIG names. This is what the program does without arguments."`
+	Check   checkCmd   `cmd:"" help:"Check routes files and say all that is wrong with them. Exits with 1 where something is."`
+	Fmt     fmtCmd     `cmd:"" help:"Print routes files in their one form. With --check, exits with 1 where a file is not in it."`
+	Diff    diffCmd    `cmd:"" help:"Say what a routes file changes in behaviour against another. Exits with 1 where something changes."`
+	Explain explainCmd `cmd:"" help:"Say which route, pool and policy a call meets, and the lines that say so. Exits with 1 where it is refused."`
+	Version versionCmd `cmd:"" help:"Print the program's version."`
+}
+
+// status is an error that carries an exit status; its text, where it has one, goes to standard error.
+type status struct {
+	code int
+	text string
+}
+
+func (s *status) Error() string { return s.text }
+
+// exited is how kong's wish to end the program, after help, gets out of it.
+type exited int
+
+// Run carries out a command line and returns the exit status.
+func Run(args []string, env Env) (code int) {
+	defer func() {
+		switch x := recover().(type) {
+		case nil:
+		case exited:
+			code = int(x)
+		default:
+			panic(x)
+		}
+	}()
+	var c cli
+	parser, err := kong.New(&c, kong.Name("crankhold"), kong.Writers(env.Out, env.Err), kong.Exit(func(code int) { panic(exited(code)) }),
+		kong.Description("A function router for small sites. docs/operate/ has a page for each task."), kong.Bind(env),
+		kong.UsageOnError())
+	if err != nil {
+		fmt.Fprintf(env.Err, "crankhold: %v\n", err)
+		return usage
+	}
+	k, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintf(env.Err, "crankhold: %v\n", err)
+		return usage
+	}
+	if err := k.Run(&c); err != nil {
+		s := (*status)(nil)
+		if !errors.As(err, &s) {
+			s = &status{finding, "crankhold: " + err.Error()}
+		}
+		if s.text != "" {
+			fmt.Fprintln(env.Err, s.text)
+		}
+		return s.code
+	}
+	return good
+}
+
+// unreadable is the status of what could not be read at all.
+func unreadable(err error) error { return &status{usage, "crankhold: " + err.Error()} }
+
+// printJSON writes a value for a program to read.
+func printJSON(w io.Writer, v any) error {
+	e := json.NewEncoder(w)
+	e.SetIndent("", "  ")
+	return e.Encode(v)
+}
+
+// The operators' files, and the variables that name others.
+var operatorFiles = []struct{ variable, file string }{
+	{"CRANKHOLD_WEBHOOK", "deploy/webhook.toml"},
+	{"CRANKHOLD_IPFIX", "deploy/ipfix.toml"},
+	{"CRANKHOLD_ROUTES", "deploy/routes.crank"},
+}
+
+// chosen returns the file to read, or none where there is no such file and none was asked for.
+func chosen(env Env, i int) string {
+	if path := env.Getenv(operatorFiles[i].variable); path != "" {
+		return path
+	}
+	if _, err := os.Stat(operatorFiles[i].file); errors.Is(err, fs.ErrNotExist) {
+		return ""
+	}
+	return operatorFiles[i].file
+}
+
+type serveCmd struct{}
+
+// Run serves until a signal ends it.
+func (serveCmd) Run(c *cli, env Env) error {
+	level, err := logs.ParseLevel(c.LogLevel)
+	if err != nil {
+		return unreadable(err)
+	}
+	slog.SetDefault(logs.New(env.Err, level))
+	read := func() (*platform.Config, error) { return platform.Read(env.Getenv) }
+	p, err := read()
+	if err != nil {
+		return err
+	}
+	return service.Serve(p, service.Files{Webhook: chosen(env, 0), Export: chosen(env, 1), Routes: chosen(env, 2)}, read)
+}
+
+type versionCmd struct {
+	JSON bool `help:"Print JSON." name:"json"`
+}
+
+// Run prints what was built, and of what.
+func (v versionCmd) Run(env Env) error {
+	info := struct {
+		Version  string `json:"version"`
+		Revision string `json:"revision,omitempty"`
+		Go       string `json:"go"`
+		Platform string `json:"platform"`
+	}{"unreleased", "", runtime.Version(), runtime.GOOS + "/" + runtime.GOARCH}
+	if b, ok := debug.ReadBuildInfo(); ok {
+		for _, s := range b.Settings {
+			if s.Key == "vcs.revision" {
+				info.Revision = s.Value
+			}
+		}
+	}
+	if v.JSON {
+		return printJSON(env.Out, info)
+	}
+	text := "crankhold " + info.Version
+	if info.Revision != "" {
+		text += " " + info.Revision
+	}
+	_, err := fmt.Fprintln(env.Out, text, info.Go, info.Platform)
+	return err
+}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -6,7 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
-	"log"
+	"log/slog"
 	"math/rand/v2"
 	"net/netip"
 	"slices"
@@ -30,6 +30,7 @@
 	Name    string
 	Addr    string
 	Zone    string
+	Kind    string
 	State   policy.WorkerState
 	Weight  float64
 	Cell    int
@@ -61,6 +62,7 @@
 	ID       string  `json:"id"`
 	HostPort string  `json:"host_port"`
 	Locality string  `json:"locality"`
+	Flavor   string  `json:"flavor"`
 	Cell     int     `json:"cell"`
 	Phase    string  `json:"phase"`
 	Size     float64 `json:"size"`
@@ -127,7 +129,7 @@
 			if _, err := netip.ParseAddrPort(m.HostPort); err != nil {
 				return fmt.Errorf("known: worker %q: %w", m.ID, err)
 			}
-			w := Worker{Name: m.ID, Addr: m.HostPort, Zone: m.Locality, Weight: m.Size, Cell: m.Cell, Started: m.UpSince}
+			w := Worker{Name: m.ID, Addr: m.HostPort, Zone: m.Locality, Kind: m.Flavor, Weight: m.Size, Cell: m.Cell, Started: m.UpSince}
 			switch m.Phase {
 			case "Ready":
 				w.State = policy.Ready
@@ -213,7 +215,7 @@
 // complain logs the first thing that goes wrong after a good answer.
 func (c *Client) complain(event string, err error) {
 	if !c.silent {
-		log.Printf("event=%s addr=%s err=%q", event, c.addr, fmt.Sprint(err))
+		slog.Warn(event, "addr", c.addr, "err", err)
 	}
 	c.silent = true
 }
@@ -265,6 +267,8 @@
 			name, value, _ := strings.Cut(text, "=")
 			n, err := strconv.ParseInt(value, 10, 64)
 			switch {
+			case name == "kind":
+				w.Kind = value
 			case name == "cell" && err == nil:
 				w.Cell = int(n)
 			case name == "started" && err == nil:
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -93,8 +93,8 @@
 		t.Fatalf("list %v", d.list)
 	}
 	d.sock.Data(answer(d.ask(), 4, 0, 1))
-	want := []Worker{{Name: "s-0", Addr: "10.1.0.0:10080", Zone: "east", State: policy.Ready, Weight: 4, Cell: 2, Started: 5},
-		{Name: "s-1", Addr: "10.1.0.1:10080", Zone: "east", State: policy.Draining, Weight: 4, Cell: 2, Started: 5}}
+	want := []Worker{{Name: "s-0", Addr: "10.1.0.0:10080", Zone: "east", Kind: "std", State: policy.Ready, Weight: 4, Cell: 2, Started: 5},
+		{Name: "s-1", Addr: "10.1.0.1:10080", Zone: "east", Kind: "std", State: policy.Draining, Weight: 4, Cell: 2, Started: 5}}
 	if fmt.Sprint(d.list) != fmt.Sprint(want) {
 		t.Fatalf("list %v, want %v", d.list, want)
 	}
--- a/internal/ipfix/ipfix.go
+++ b/internal/ipfix/ipfix.go
@@ -5,7 +5,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net/netip"
 	"os"
 	"time"
@@ -231,6 +231,6 @@
 	if err == nil {
 		err = errors.New("closed")
 	}
-	log.Printf("event=collector_lost err=%q", err)
+	slog.Warn("collector_lost", "err", err)
 	x.line, x.up, x.redial = nil, false, x.now+redialAfter
 }
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -8,7 +8,7 @@
 import (
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net"
 	"net/netip"
 	"sync"
@@ -209,7 +209,7 @@
 	})
 	l.engine.OnAcceptError(func(err error) {
 		// Out of descriptors accept fails at once, and nbio would call it again without end.
-		log.Printf("event=accept_failed err=%q", err)
+		slog.Warn("accept_failed", "err", err)
 		time.Sleep(acceptPause)
 	})
 	if err := l.engine.Start(); err != nil {
@@ -416,7 +416,7 @@
 		}
 	}
 	if l.refused > 0 && l.now-l.complained > time.Second { // not once for each: a flood would fill the log
-		log.Printf("event=connections_refused count=%d err=%q", l.refused, ErrTooMany)
+		slog.Warn("connections_refused", "count", l.refused, "err", ErrTooMany)
 		l.refused, l.complained = 0, l.now
 	}
 }
--- /dev/null
+++ b/internal/platform/config.go
@@ -0,0 +1,203 @@
+// Package platform reads what the platform tells a function router: the file that EDGE_CONFIG names. It may
+// import the parsers of what that file holds; the service and the command line call it.
+package platform
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"reflect"
+	"slices"
+	"strconv"
+	"time"
+
+	"crankhold/internal/directory"
+	"crankhold/internal/lang"
+	"crankhold/internal/wire"
+	"crankhold/policy"
+)
+
+// Config is what the platform tells a function router.
+type Config struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		MemoryMB int `json:"memory_mb"`
+		Sockets  int `json:"sockets"`
+	} `json:"limits"`
+	Names    string          `json:"names"`
+	Known    directory.Known `json:"known"`
+	Settings json.RawMessage `json:"settings"`
+
+	Random  uint64 // Seed as a number
+	Module  policy.Config
+	Network Network
+}
+
+// Network is what the sockets need of the settings and the module does not.
+type Network struct {
+	FailureDomains []string `json:"failureDomains"`
+	Kinds          []string `json:"kinds"`
+	Classes        []struct {
+		Name string `json:"name"`
+	} `json:"classes"`
+	Specifics struct {
+		MemoryMbByKind []float64 `json:"memoryMbByKind"`
+	} `json:"specifics"`
+	Limits struct {
+		DialTimeoutMs  float64 `json:"dialTimeoutMs"`
+		KeepaliveMs    float64 `json:"keepaliveMs"`
+		MaxOpen        int     `json:"maxOpen"`
+		StreamsPerConn int     `json:"streamsPerConn"`
+	} `json:"limits"`
+}
+
+// Read reads and checks the file that EDGE_CONFIG names. EDGE_NAME and EDGE_LISTEN go before
+// what it says.
+func Read(getenv func(string) string) (*Config, error) {
+	path := getenv("EDGE_CONFIG")
+	if path == "" {
+		return nil, errors.New("EDGE_CONFIG names no file")
+	}
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, fmt.Errorf("config: %w", err)
+	}
+	var c Config
+	if err := json.Unmarshal(text, &c); err != nil {
+		return nil, fmt.Errorf("config %s: %w", path, err)
+	}
+	for name, to := range map[string]*string{"EDGE_NAME": &c.Name, "EDGE_LISTEN": &c.Listen} {
+		if v := getenv(name); v != "" {
+			*to = v
+		}
+	}
+	for name, addr := range map[string]string{"listen": c.Listen, "names": c.Names} {
+		if _, err := netip.ParseAddrPort(addr); err != nil {
+			return nil, fmt.Errorf("config %s: %s: %w", path, name, err)
+		}
+	}
+	if c.Random, err = strconv.ParseUint(c.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("config %s: seed: %w", path, err)
+	}
+	if c.Module, err = wire.ParseSettings(c.Settings); err != nil {
+		return nil, fmt.Errorf("config %s: %w", path, err)
+	}
+	n := &c.Network
+	if err := json.Unmarshal(c.Settings, n); err != nil {
+		return nil, fmt.Errorf("config %s: settings: %w", path, err)
+	}
+	for i, k := range n.Classes {
+		if k.Name == "" {
+			return nil, fmt.Errorf("config %s: class %d has no name", path, i)
+		}
+	}
+	orDefault(&n.Limits.DialTimeoutMs, 250)
+	orDefault(&n.Limits.KeepaliveMs, 30000)
+	orDefault(&n.Limits.MaxOpen, 20000)
+	orDefault(&n.Limits.StreamsPerConn, 32)
+	orDefault(&c.Limits.MemoryMB, 192)
+	orDefault(&c.Limits.Sockets, 1024)
+	if c.Limits.MemoryMB < 32 || c.Limits.Sockets < 64 {
+		return nil, fmt.Errorf("config %s: limits: too little memory or too few sockets", path)
+	}
+	return &c, nil
+}
+
+// ownFiles is how many descriptors are kept for what is neither a client nor a worker: pollers,
+// listeners, the directory, notices, files, and an accepted connection that is yet to be turned away.
+const ownFiles = 32
+
+// ClientConns is how many accepted connections there may be: a third of the descriptors.
+func (c *Config) ClientConns() int { return c.Limits.Sockets / 3 }
+
+// WorkerConns is how many connections to workers there may be: what the clients' third leaves.
+func (c *Config) WorkerConns() int {
+	return c.Limits.Sockets - c.ClientConns() - min(ownFiles, c.Limits.Sockets/4)
+}
+
+// Share scales a bound that is right for 192 MB to the memory that there is. The bounds on what is held for
+// peers come to 80 MiB of those 192 with the webhooks' outcomes, and keep that part of any smaller limit.
+func (c *Config) Share(bytes int) int { return bytes * min(c.Limits.MemoryMB, 192) / 192 }
+
+// MaxOpen is how many requests may be open: at 2 KiB each, bodies aside, a sixteenth of the memory.
+func (c *Config) MaxOpen() int { return min(c.Network.Limits.MaxOpen, c.Limits.MemoryMB*32) }
+
+// TurnedAway is what clients are told that there is no room for.
+func (c *Config) TurnedAway() time.Duration {
+	if !c.Module.RetryAfter {
+		return 0
+	}
+	return min(time.Second, c.Module.MaxRetryAfter)
+}
+
+// NeedsRestart names what fresh changes and a reload does not take over. The seed and the start's list
+// count at a start alone.
+func (c *Config) NeedsRestart(fresh *Config) (changed []string) {
+	for _, part := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == fresh.Name}, {"listen", c.Listen == fresh.Listen}, {"limits", c.Limits == fresh.Limits},
+		{"settings", reflect.DeepEqual(c.Module, fresh.Module) && reflect.DeepEqual(c.Network, fresh.Network)},
+	} {
+		if !part.same {
+			changed = append(changed, part.name)
+		}
+	}
+	return changed
+}
+
+// orDefault sets what is absent or no use.
+func orDefault[T int | float64](v *T, to T) {
+	if *v <= 0 {
+		*v = to
+	}
+}
+
+// Millis turns milliseconds, as settings word them, into a time.
+func Millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+
+// ClassNames returns the names of the classes, in the order in which requests count them.
+func (c *Config) ClassNames() (names []string) {
+	for _, k := range c.Network.Classes {
+		names = append(names, k.Name)
+	}
+	return names
+}
+
+// Once tells of each class whether it must never run twice.
+func (c *Config) Once() (once []bool) {
+	for _, k := range c.Module.Classes {
+		once = append(once, k.Repeat == policy.Unsafe)
+	}
+	return once
+}
+
+// KindMemoryMB is the memory of a kind of workers, or 0 where the settings don't tell.
+func (c *Config) KindMemoryMB(kind string) float64 {
+	if i := slices.Index(c.Network.Kinds, kind); i >= 0 && i < len(c.Network.Specifics.MemoryMbByKind) {
+		return c.Network.Specifics.MemoryMbByKind[i]
+	}
+	return 0
+}
+
+// Routing returns what the settings say that routes may not contradict.
+func (c *Config) Routing() *lang.Platform {
+	p := &lang.Platform{MaxAttempts: c.Module.MaxAttempts, SecondCopies: c.Module.SecondAttempts, Kinds: c.Network.Kinds,
+		KindMemoryMB: map[string]float64{}, Zones: c.Network.FailureDomains, LoadWindow: c.Module.LoadWindow}
+	once := c.Once()
+	for i, name := range c.ClassNames() {
+		k := c.Module.Classes[i]
+		p.Classes = append(p.Classes, lang.Class{Name: name, Once: once[i], Deadline: k.Deadline, Aim: k.Aim})
+	}
+	for _, k := range p.Kinds {
+		if mb := c.KindMemoryMB(k); mb > 0 {
+			p.KindMemoryMB[k] = mb
+		}
+	}
+	return p
+}
--- a/cmd/crankhold/config_test.go
+++ b/internal/platform/config_test.go
@@ -1,4 +1,4 @@
-package main
+package platform
 
 import (
 	"fmt"
@@ -14,21 +14,21 @@
  "settings":{"classes":[{"name":"repair-order","deadlineMs":3000,"goalTimeMs":1200,"semantics":"unsafe","group":"all"}]}}`
 
 // readText reads a configuration from a file at path.
-func readText(path, text string) (*config, error) {
+func readText(path, text string) (*Config, error) {
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
 	}
-	return readConfig(func(name string) string {
+	return Read(func(name string) string {
 		return map[string]string{"EDGE_CONFIG": path, "EDGE_NAME": "n4"}[name]
 	})
 }
 
 func TestConfig(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "config.json")
-	read := func(text string) (*config, error) { return readText(path, text) }
+	read := func(text string) (*Config, error) { return readText(path, text) }
 	c, err := read(goodConfig)
-	if err != nil || c.Name != "n4" || c.seed != 0x8c1f30d27a5be964 || c.Known.Offset != 3 ||
-		c.network.Classes[0].Name != "repair-order" || c.network.Limits.StreamsPerConn != 32 {
+	if err != nil || c.Name != "n4" || c.Random != 0x8c1f30d27a5be964 || c.Known.Offset != 3 ||
+		c.Network.Classes[0].Name != "repair-order" || c.Network.Limits.StreamsPerConn != 32 {
 		t.Errorf("read %+v, %v", c, err)
 	}
 	for old, new := range map[string]string{
@@ -44,7 +44,7 @@
 			t.Errorf("%s: %v", new, err)
 		}
 	}
-	if _, err := readConfig(func(string) string { return "" }); err == nil {
+	if _, err := Read(func(string) string { return "" }); err == nil {
 		t.Error("no file, no error")
 	}
 }
@@ -67,7 +67,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if got := fmt.Sprint(c.needsRestart(fresh)); got != to.want {
+		if got := fmt.Sprint(c.NeedsRestart(fresh)); got != to.want {
 			t.Errorf("%s needs a restart for %s, want %s", to.new, got, to.want)
 		}
 	}
@@ -77,23 +77,23 @@
 func TestBoundsFollowTheLimits(t *testing.T) {
 	for _, memory := range []int{32, 48, 64, 192, 2048} {
 		for _, sockets := range []int{64, 256, 1024} {
-			var c config
-			c.Limits.MemoryMB, c.Limits.Sockets, c.network.Limits.MaxOpen = memory, sockets, 20000
-			held := c.share(8<<20) + c.share(32<<20) + c.share(24<<20) + c.share(16<<20) + c.maxOpen()*2048
-			if held > memory<<20/2 || c.share(24<<20) < 1<<20 || c.maxOpen() < 1000 {
-				t.Errorf("%d MB: %d bytes may be held, %d requests open", memory, held, c.maxOpen())
+			var c Config
+			c.Limits.MemoryMB, c.Limits.Sockets, c.Network.Limits.MaxOpen = memory, sockets, 20000
+			held := c.Share(8<<20) + c.Share(32<<20) + c.Share(24<<20) + c.Share(16<<20) + c.MaxOpen()*2048
+			if held > memory<<20/2 || c.Share(24<<20) < 1<<20 || c.MaxOpen() < 1000 {
+				t.Errorf("%d MB: %d bytes may be held, %d requests open", memory, held, c.MaxOpen())
 			}
-			if own := sockets - c.clientConns() - c.workerConns(); c.clientConns()*3 > sockets || own < 16 || c.workerConns() < 20 {
-				t.Errorf("%d descriptors: %d for clients, %d for workers", sockets, c.clientConns(), c.workerConns())
+			if own := sockets - c.ClientConns() - c.WorkerConns(); c.ClientConns()*3 > sockets || own < 16 || c.WorkerConns() < 20 {
+				t.Errorf("%d descriptors: %d for clients, %d for workers", sockets, c.ClientConns(), c.WorkerConns())
 			}
 		}
 	}
-	var c config
-	if c.turnedAway() != 0 {
+	var c Config
+	if c.TurnedAway() != 0 {
 		t.Error("advice where the settings allow none")
 	}
-	c.module.RetryAfter, c.module.MaxRetryAfter = true, 300*time.Millisecond
-	if c.turnedAway() != c.module.MaxRetryAfter {
-		t.Errorf("advice %v", c.turnedAway())
+	c.Module.RetryAfter, c.Module.MaxRetryAfter = true, 300*time.Millisecond
+	if c.TurnedAway() != c.Module.MaxRetryAfter {
+		t.Errorf("advice %v", c.TurnedAway())
 	}
 }
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -6,7 +6,7 @@
 	"bytes"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"slices"
 	"strconv"
 	"time"
@@ -317,7 +317,7 @@
 
 // fault ends a connection that is of no further use.
 func (c *conn) fault(err error) {
-	log.Printf("event=worker_closed addr=%s err=%q", c.w.addr, err)
+	slog.Warn("worker_closed", "addr", c.w.addr, "err", err)
 	c.close()
 }
 
@@ -473,7 +473,7 @@
 // Opened is the end of the dial. A refused or late one proves that nothing ran.
 func (c *conn) Opened(err error) {
 	if err != nil {
-		log.Printf("event=dial_failed addr=%s err=%q", c.w.addr, err)
+		slog.Warn("dial_failed", "addr", c.w.addr, "err", err)
 		c.lost(policy.Unreachable)
 		return
 	}
--- /dev/null
+++ b/internal/route/pool.go
@@ -0,0 +1,314 @@
+package route
+
+import (
+	"fmt"
+	"math"
+	"slices"
+	"strings"
+	"time"
+
+	"crankhold/policy"
+)
+
+// Pool is a pool of workers, as the decision module sees it: whom a call may go to, and whether a further
+// attempt, order or spilled call is within its bounds. A table that replaces another takes the counts over.
+type Pool struct {
+	Spec    PoolSpec
+	next    *Pool
+	members map[policy.WorkerID]bool
+	share   float64 // of the ration of load orders
+	*counts
+	orders *window // of its own, or of all pools without a share
+}
+
+var _ policy.Pool = (*Pool)(nil)
+
+// counts is what happened in a pool.
+type counts struct {
+	inFlight, peak       int
+	calls, spilled       *window
+	own                  *window // orders
+	Calls, Spills, Loads uint64
+	Turned               uint64 // times that the cap or the spill bound stood in the way
+}
+
+// spillSpan is the time over which the bound on what spills is kept.
+const spillSpan = 10 * time.Second
+
+// compilePools makes the pools of a spec and joins them to their fallbacks.
+func compilePools(specs []PoolSpec, loads time.Duration) (map[string]*Pool, error) {
+	pools, shared, rest := map[string]*Pool{}, newWindow(loads), 1.0
+	for _, s := range specs {
+		if pools[s.Name] != nil {
+			return nil, fmt.Errorf("pool %q is there twice", s.Name)
+		}
+		pools[s.Name] = &Pool{Spec: s, counts: &counts{calls: newWindow(spillSpan), spilled: newWindow(spillSpan), own: newWindow(loads)}}
+		rest -= max(s.LoadOrders, 0)
+	}
+	if rest < -1e-9 {
+		return nil, fmt.Errorf("the pools' shares of the load orders come to %.4g%%", 100*(1-rest))
+	}
+	for _, p := range pools {
+		p.orders, p.share = shared, max(rest, 0)
+		if p.Spec.LoadOrders != Unset {
+			p.orders, p.share = p.own, p.Spec.LoadOrders
+		}
+		if p.Spec.Fallback != "" {
+			if p.next = pools[p.Spec.Fallback]; p.next == nil {
+				return nil, fmt.Errorf("pool %q: no pool %q", p.Spec.Name, p.Spec.Fallback)
+			}
+		}
+		for q, n := p.next, 0; q != nil; q = q.next {
+			if n++; n > len(pools) {
+				return nil, fmt.Errorf("pool %q falls back in a circle", p.Spec.Name)
+			}
+		}
+	}
+	return pools, nil
+}
+
+// Has tells whether a worker is one of the pool's.
+func (p *Pool) Has(w policy.WorkerID) bool { return p.members[w] }
+
+// Size is how many workers of the list are the pool's.
+func (p *Pool) Size() int { return len(p.members) }
+
+// Room tells whether a further attempt may be in flight.
+func (p *Pool) Room() bool { return p.Spec.Cap == Unset || p.inFlight < p.Spec.Cap }
+
+// InFlight and Peak are how many attempts are out, and how many were at most.
+func (p *Pool) InFlight() int { return p.inFlight }
+
+// Peak is the most attempts that were in flight at once.
+func (p *Pool) Peak() int { return p.peak }
+
+// Routed counts a call that a route sends to the pool.
+func (p *Pool) Routed(now time.Duration) {
+	p.Calls++
+	p.calls.add(now)
+}
+
+// Sent counts an attempt as in flight.
+func (p *Pool) Sent() {
+	p.inFlight++
+	p.peak = max(p.peak, p.inFlight)
+}
+
+// Ended takes back what Sent counted; each attempt ends once.
+func (p *Pool) Ended() { p.inFlight-- }
+
+// MayOrder tells whether a load order is within the pool's share of a ration of so many orders in the
+// window of the ration.
+func (p *Pool) MayOrder(now time.Duration, ration float64) bool {
+	return p.share >= 1 || float64(p.orders.most(now)+1) <= p.share*ration
+}
+
+// Ordered counts a load order.
+func (p *Pool) Ordered(now time.Duration) {
+	p.Loads++
+	p.orders.add(now)
+}
+
+// Spill returns where a call goes that the pool can't take, or nil where it has no fallback or its bound is
+// reached. It counts the call.
+func (p *Pool) Spill(now time.Duration) policy.Pool {
+	if p.next == nil {
+		return nil
+	}
+	most := math.Inf(1)
+	if p.Spec.SpillShare != Unset {
+		most = p.Spec.SpillShare * float64(p.calls.least(now))
+	}
+	if p.Spec.SpillRate != Unset {
+		most = min(most, p.Spec.SpillRate*spillSpan.Seconds())
+	}
+	if float64(p.spilled.most(now)+1) > most {
+		p.Turned++
+		return nil
+	}
+	p.Spills++
+	p.spilled.add(now)
+	p.next.Routed(now)
+	return p.next
+}
+
+// SetWorkers tells the table which workers there are.
+func (t *Table) SetWorkers(list []Worker) {
+	for _, p := range t.pools {
+		p.members = map[policy.WorkerID]bool{}
+	}
+	for _, w := range list {
+		w = w.with(t.labels[w.Name])
+		for _, p := range t.pools {
+			if p.Spec.picks(w) {
+				p.members[w.ID] = true
+			}
+		}
+	}
+}
+
+// with returns w with what a static entry says of it, which goes first.
+func (w Worker) with(s Worker) Worker {
+	if s.Name == "" {
+		return w
+	}
+	if s.Kind != "" {
+		w.Kind = s.Kind
+	}
+	if s.Zone != "" {
+		w.Zone = s.Zone
+	}
+	if s.Cell >= 0 {
+		w.Cell = s.Cell
+	}
+	if s.MemoryMB > 0 {
+		w.MemoryMB = s.MemoryMB
+	}
+	w.Labels = s.Labels
+	return w
+}
+
+func (s PoolSpec) picks(w Worker) bool {
+	return len(s.Workers) == 0 || slices.ContainsFunc(s.Workers, func(l Selector) bool { return l.Picks(w) })
+}
+
+// Picks tells whether the selector fits a worker.
+func (l Selector) Picks(w Worker) bool {
+	for _, want := range l.Labels {
+		v, ok := w.Labels[want.Name]
+		if !ok || !slices.Contains(want.Values, v) {
+			return false
+		}
+	}
+	return fits(l.IDs, w.Name) && fits(l.Kinds, w.Kind) && fits(l.Zones, w.Zone) && w.MemoryMB >= l.MemoryMB &&
+		(len(l.Cells) == 0 || slices.Contains(l.Cells, w.Cell))
+}
+
+// fits tells whether one of the patterns is the name, or with a star the beginning of it; none fits all.
+func fits(list []string, name string) bool {
+	return len(list) == 0 || slices.ContainsFunc(list, func(s string) bool {
+		prefix, star := strings.CutSuffix(s, "*")
+		return s == name || star && strings.HasPrefix(name, prefix)
+	})
+}
+
+// Adopt has the pools of t go on with the counts of those of old that they replace: of the same figures, or
+// else of the same name. Calls that are open end under old, and are counted in both.
+func (t *Table) Adopt(old *Table) {
+	if len(t.pools) == 0 || len(old.pools) == 0 {
+		return
+	}
+	before, shared := pair(old.pools, t.pools), (*window)(nil)
+	for _, o := range old.pools {
+		if o.Spec.LoadOrders == Unset {
+			shared = o.orders
+		}
+	}
+	for _, p := range t.pools {
+		if o := before[p]; o != nil {
+			p.counts = o.counts
+		}
+		if p.Spec.LoadOrders != Unset {
+			p.orders = p.own
+		} else if shared != nil {
+			p.orders = shared
+		}
+	}
+}
+
+// pair finds for each new pool the old one that it replaces: one of the same figures, by the same name where
+// there is one, or else the one of the same name. A pool that is only renamed stays the same pool.
+func pair(old, new []*Pool) map[*Pool]*Pool {
+	pairs, taken := map[*Pool]*Pool{}, map[*Pool]bool{}
+	find := func(fit func(o, n *Pool) bool) {
+		for _, n := range new {
+			for _, o := range old {
+				if pairs[n] == nil && !taken[o] && fit(o, n) {
+					pairs[n], taken[o] = o, true
+				}
+			}
+		}
+	}
+	name := func(o, n *Pool) bool { return o.Spec.Name == n.Spec.Name }
+	find(func(o, n *Pool) bool { return name(o, n) && o.figures() == n.figures() })
+	find(func(o, n *Pool) bool { return o.figures() == n.figures() })
+	find(name)
+	return pairs
+}
+
+// figures words all that a pool does, its name aside.
+func (p *Pool) figures() string {
+	text := p.Spec.figures()
+	for q := p.next; q != nil; q = q.next {
+		text += " then " + q.Spec.figures()
+	}
+	return text
+}
+
+func (s PoolSpec) figures() string {
+	var picks []string
+	for _, l := range s.Workers {
+		picks = append(picks, l.String())
+	}
+	slices.Sort(picks)
+	return fmt.Sprintf("workers %s, %s", strings.Join(slices.Compact(picks), " or "), s.bounds())
+}
+
+// String words a selector in one way, however it was written.
+func (l Selector) String() string {
+	var parts []string
+	add := func(name string, values []string) {
+		if len(values) > 0 {
+			v := slices.Clone(values)
+			slices.Sort(v)
+			parts = append(parts, name+" "+strings.Join(slices.Compact(v), "|"))
+		}
+	}
+	add("id", l.IDs)
+	add("kind", l.Kinds)
+	add("zone", l.Zones)
+	var cells []string
+	for _, c := range l.Cells {
+		cells = append(cells, fmt.Sprint(c))
+	}
+	add("cell", cells)
+	if l.MemoryMB > 0 {
+		parts = append(parts, fmt.Sprintf("memory at least %.6g MB", l.MemoryMB))
+	}
+	labels := slices.Clone(l.Labels)
+	slices.SortFunc(labels, func(a, b Label) int { return strings.Compare(a.Name, b.Name) })
+	for _, b := range labels {
+		add("label "+b.Name, b.Values)
+	}
+	if len(parts) == 0 {
+		return "any"
+	}
+	return strings.Join(parts, " and ")
+}
+
+// bounds words what a pool may use.
+func (s PoolSpec) bounds() string {
+	parts := []string{"no cap", "load orders of the rest"}
+	if s.Cap != Unset {
+		parts[0] = fmt.Sprintf("cap %d", s.Cap)
+	}
+	if s.LoadOrders != Unset {
+		parts[1] = fmt.Sprintf("load orders %.6g%%", 100*s.LoadOrders)
+	}
+	if s.Fallback != "" && s.SpillShare != Unset {
+		parts = append(parts, fmt.Sprintf("spill %.6g%%", 100*s.SpillShare))
+	}
+	if s.Fallback != "" && s.SpillRate != Unset {
+		parts = append(parts, fmt.Sprintf("spill %.6g/s", s.SpillRate))
+	}
+	return strings.Join(parts, ", ")
+}
+
+// Words words what the pool does, and what takes its calls where it can't.
+func (p *Pool) Words() string {
+	text := p.Spec.figures()
+	if p.next != nil {
+		text += ", then pool " + p.next.Spec.Name
+	}
+	return text
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -9,6 +9,7 @@
 	"net/netip"
 	"time"
 
+	"crankhold/internal/route"
 	"crankhold/policy"
 )
 
@@ -63,6 +64,7 @@
 	LoadTime time.Duration
 	Body     []byte
 	Deadline time.Duration // the final answer must have left by then
+	Tenant   string        // who asks, where the front can tell for sure; "" else
 
 	Client netip.AddrPort // for the record only
 	Taken  time.Duration  // set by Take
@@ -145,6 +147,8 @@
 	reqs    map[policy.RequestID]*entry
 	ids     map[string]struct{} // what their clients call them
 	last    policy.RequestID
+	routes  *route.Table // nil: every call may go to every worker
+	listed  []route.Worker
 	open    int
 	bytes   int
 	asked   map[uint64]*question
@@ -159,6 +163,7 @@
 // Counters tells what the core took, sent and answered.
 type Counters struct {
 	Taken, Served, Refused, Failed, Left, Turned [fronts]uint64
+	Unrouted                                     [fronts]uint64 // refused because no route, or one without a pool, matched
 	Sent, Orders, Probes, Unloads                uint64
 	Ended                                        [policy.Missed + 1]uint64 // attempts, by outcome
 	OrderEnded, ProbeEnded                       [policy.Missed + 1]uint64 // by outcome
@@ -201,6 +206,26 @@
 // SetList hands in a worker list.
 func (c *Core) SetList(l policy.WorkerList) { c.events = append(c.events, l) }
 
+// SetLabels says what routes pick the workers of the list by.
+func (c *Core) SetLabels(list []route.Worker) {
+	if c.listed = list; c.routes != nil {
+		c.routes.SetWorkers(list)
+	}
+}
+
+// SetRoutes has calls go by t from now on; those that are open end under the table they began with.
+func (c *Core) SetRoutes(t *route.Table) {
+	if c.routes != nil && t != nil {
+		t.Adopt(c.routes)
+	}
+	if c.routes = t; t != nil {
+		t.SetWorkers(c.listed)
+	}
+}
+
+// Routes returns the table in force, or nil.
+func (c *Core) Routes() *route.Table { return c.routes }
+
 // Take hands in a request. It returns its id; the answer may come before Take returns.
 func (c *Core) Take(now time.Duration, r Request) policy.RequestID {
 	c.now = max(c.now, now)
@@ -220,6 +245,17 @@
 		r.Asker.Answered(Answer{Verdict: Failed})
 		return 0
 	}
+	var terms *policy.Terms
+	if c.routes != nil {
+		to := c.routes.Match(route.Call{Front: route.Front(r.Front), Class: r.Class, Function: uint64(r.Function), Tenant: r.Tenant})
+		if to == nil || to.Pool == nil {
+			c.Count.Unrouted[r.Front]++
+			c.refuse(r)
+			return 0
+		}
+		to.Pool.Routed(c.now)
+		terms = c.routes.Terms(to, r.Class)
+	}
 	for c.last++; c.last == 0 || c.reqs[c.last] != nil; c.last++ {
 	}
 	r.Taken = c.now
@@ -229,7 +265,7 @@
 	c.open++
 	c.bytes += len(r.Body)
 	c.events = append(c.events, policy.Arrived{Request: c.last, Class: r.Class, Function: r.Function, Lanes: r.Lanes,
-		MemoryMB: r.MemoryMB, LoadTime: r.LoadTime, Left: max(r.Deadline-c.now, 0)})
+		MemoryMB: r.MemoryMB, LoadTime: r.LoadTime, Left: max(r.Deadline-c.now, 0), Terms: terms})
 	c.after(r.Deadline, timer{kind: timeUp, request: c.last})
 	return c.last
 }
@@ -239,6 +275,11 @@
 	c.now = max(c.now, now)
 	c.Count.Taken[r.Front]++
 	c.Count.Turned[r.Front]++
+	c.refuse(r)
+}
+
+// refuse answers a request that the module never hears of.
+func (c *Core) refuse(r Request) {
 	if r.Taken = c.now; c.Observe != nil {
 		c.Observe(c.now, &r, "refused")
 	}
--- a/cmd/crankhold/hooks.go
+++ b/internal/service/hooks.go
@@ -1,26 +1,18 @@
-package main
+package service
 
 import (
-	"errors"
-	"io/fs"
-	"log"
+	"log/slog"
 	"net/netip"
-	"os"
 	"time"
 
 	"crankhold/internal/ipfix"
 	"crankhold/internal/loop"
+	"crankhold/internal/platform"
 	"crankhold/internal/router"
 	"crankhold/internal/webhook"
 	"crankhold/policy"
 )
 
-// The files that turn on what the platform does not want; the variables name others.
-const (
-	webhookFile, webhookVariable = "deploy/webhook.toml", "CRANKHOLD_WEBHOOK"
-	exportFile, exportVariable   = "deploy/ipfix.toml", "CRANKHOLD_IPFIX"
-)
-
 // hooks is what goes beside the platform's front: a receiver of signed calls, a sender of signed
 // notices and an exporter of flows. Each may be off.
 type hooks struct {
@@ -30,27 +22,16 @@
 	servers  [2]netip.AddrPort // where each front listens
 }
 
-// chosen returns the file to read, or none where there is no such file and none was asked for.
-func chosen(variable, file string) string {
-	if path := os.Getenv(variable); path != "" {
-		return path
-	}
-	if _, err := os.Stat(file); errors.Is(err, fs.ErrNotExist) {
-		return ""
-	}
-	return file
-}
-
 // newHooks reads the files and joins what they turn on to the loop and the core.
-func newHooks(c *config, lp *loop.Loop, core *router.Core) (*hooks, error) {
+func newHooks(files Files, c *platform.Config, lp *loop.Loop, core *router.Core) (*hooks, error) {
 	h := &hooks{}
 	h.servers[router.Thrift], _ = netip.ParseAddrPort(c.Listen) // checked when it was read
-	if path := chosen(webhookVariable, webhookFile); path != "" {
+	if path := files.Webhook; path != "" {
 		if err := h.addWebhooks(path, c, lp, core); err != nil {
 			return nil, err
 		}
 	}
-	if path := chosen(exportVariable, exportFile); path != "" {
+	if path := files.Export; path != "" {
 		cfg, err := ipfix.ReadConfig(path)
 		if err != nil {
 			return nil, err
@@ -59,39 +40,39 @@
 			h.exporter = ipfix.New(cfg, time.Now, func(d loop.Dialled) ipfix.Line {
 				return lp.Dial("udp", cfg.Collector, time.Second, d)
 			})
-			log.Printf("event=export_on collector=%s", cfg.Collector)
+			slog.Info("export_on", "collector", cfg.Collector)
 		}
 	}
 	core.Observe = func(now time.Duration, r *router.Request, end string) {
-		if h.sender != nil && c.module.Classes[r.Class].Repeat == policy.Unsafe {
+		if h.sender != nil && c.Module.Classes[r.Class].Repeat == policy.Unsafe {
 			h.sender.Notify(now, r, end)
 		}
 		if h.exporter != nil {
 			wall := time.Now()
 			h.exporter.Add(ipfix.Flow{Client: r.Client, Server: h.servers[r.Front], Start: wall.Add(r.Taken - now), End: wall,
-				Octets: uint64(len(r.Body)), Class: c.network.Classes[r.Class].Name})
+				Octets: uint64(len(r.Body)), Class: c.Network.Classes[r.Class].Name})
 		}
 	}
 	return h, nil
 }
 
 // addWebhooks turns on what the webhook file says.
-func (h *hooks) addWebhooks(path string, c *config, lp *loop.Loop, core *router.Core) error {
+func (h *hooks) addWebhooks(path string, c *platform.Config, lp *loop.Loop, core *router.Core) error {
 	cfg, err := webhook.ReadConfig(path)
 	if err != nil {
 		return err
 	}
 	if cfg.Receiver.Enabled {
 		var classes []webhook.Class
-		for i, k := range c.module.Classes {
-			classes = append(classes, webhook.Class{Name: c.network.Classes[i].Name, Once: k.Repeat != policy.Safe, Longest: k.Deadline})
+		for i, k := range c.Module.Classes {
+			classes = append(classes, webhook.Class{Name: c.Network.Classes[i].Name, Once: k.Repeat != policy.Safe, Longest: k.Deadline})
 		}
-		if h.receiver, err = webhook.NewReceiver(cfg, core, classes, c.share(16<<20), lp.Now, time.Now, lp.Post); err != nil {
+		if h.receiver, err = webhook.NewReceiver(cfg, core, classes, c.Share(16<<20), lp.Now, time.Now, lp.Post); err != nil {
 			return err
 		}
 		h.servers[router.Webhook], _ = netip.ParseAddrPort(cfg.Receiver.Listen) // so was this
 		lp.Listen(cfg.Receiver.Listen, h.receiver.Accept)
-		log.Printf("event=webhooks_on listen=%s path=%s ledger=%q", cfg.Receiver.Listen, cfg.Receiver.Path, cfg.Receiver.Ledger.Path)
+		slog.Info("webhooks_on", "listen", cfg.Receiver.Listen, "path", cfg.Receiver.Path, "ledger", cfg.Receiver.Ledger.Path)
 	}
 	if cfg.Sender.Enabled {
 		h.sender, err = webhook.NewSender(cfg, time.Now, func(addr string, timeout time.Duration, d loop.Dialled) webhook.Line {
@@ -135,7 +116,7 @@
 func (h *hooks) close() {
 	if h.receiver != nil {
 		if err := h.receiver.Close(); err != nil {
-			log.Printf("event=ledger_not_closed err=%q", err)
+			slog.Error("ledger_not_closed", "err", err)
 		}
 	}
 }
@@ -143,15 +124,13 @@
 // print logs the counters of what is on.
 func (h *hooks) print() {
 	if r := h.receiver; r != nil {
-		log.Printf("event=counters deliveries=%d unauthorized=%d malformed=%d replayed=%d joined=%d ledger_refused=%d",
-			r.Count.Deliveries, r.Count.Unauthorized, r.Count.Malformed, r.Count.Replayed, r.Count.Joined, r.Count.LedgerRefused)
+		slog.Info("counters", "deliveries", r.Count.Deliveries, "unauthorized", r.Count.Unauthorized, "malformed", r.Count.Malformed, "replayed", r.Count.Replayed, "joined", r.Count.Joined, "ledger_refused", r.Count.LedgerRefused)
 	}
 	if s := h.sender; s != nil {
 		n := s.Sent
-		log.Printf("event=counters notices_queued=%d dropped=%d delivered=%d retried=%d given_up=%d open=%d",
-			n.Queued, n.Dropped, n.Delivered, n.Retried, n.GivenUp, h.open())
+		slog.Info("counters", "notices_queued", n.Queued, "dropped", n.Dropped, "delivered", n.Delivered, "retried", n.Retried, "given_up", n.GivenUp, "open", h.open())
 	}
 	if x := h.exporter; x != nil {
-		log.Printf("event=counters flow_records=%d sent=%d dropped=%d messages=%d", x.Count.Records, x.Count.Sent, x.Count.Dropped, x.Count.Messages)
+		slog.Info("counters", "flow_records", x.Count.Records, "sent", x.Count.Sent, "dropped", x.Count.Dropped, "messages", x.Count.Messages)
 	}
 }
--- a/cmd/crankhold/serve_test.go
+++ b/internal/service/serve_test.go
@@ -1,4 +1,4 @@
-package main
+package service
 
 import (
 	"bufio"
@@ -13,8 +13,14 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"crankhold/internal/platform"
 )
 
+const goodConfig = `{"name":"n3","listen":"127.0.0.1:10080","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
+ "names":"127.0.0.1:1053","known":{"offset":3,"batch":[{"offset":3,"topology":{"complete":true,"members":[]}}]},
+ "settings":{"classes":[{"name":"repair-order","deadlineMs":3000,"goalTimeMs":1200,"semantics":"unsafe","group":"all"}]}}`
+
 // worker answers each RUN with what it was sent, behind the word done, and counts them.
 func worker(t *testing.T) (addr string, runs chan string) {
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
@@ -91,15 +97,21 @@
 	path := filepath.Join(t.TempDir(), "config.json")
 	text := strings.NewReplacer("127.0.0.1:10080", listen, "127.0.0.1:1053", names.LocalAddr().String(), `"members":[]`,
 		fmt.Sprintf(`"members":[{"id":"s-1","host_port":%q,"phase":"Ready","size":1}]`, addr)).Replace(goodConfig)
-	cfg, err := readText(path, text)
+	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	read := func() (*platform.Config, error) {
+		return platform.Read(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] })
+	}
+	cfg, err := read()
 	if err != nil {
 		t.Fatal(err)
 	}
 	ended := make(chan error, 1)
 	reread := make(chan error, 1)
 	go func() {
-		ended <- serve(cfg, func() (*config, error) {
-			fresh, err := readConfig(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] })
+		ended <- Serve(cfg, Files{}, func() (*platform.Config, error) {
+			fresh, err := read()
 			reread <- err
 			return fresh, err
 		})
--- /dev/null
+++ b/internal/service/service.go
@@ -0,0 +1,204 @@
+// Package service puts the function router together and runs it: the core between its fronts, the workers'
+// connections, the directory, and what reacts to signals. It imports the parts and decides nothing; the command
+// line calls it.
+package service
+
+import (
+	"log/slog"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"slices"
+	"syscall"
+	"time"
+
+	"crankhold/internal/directory"
+	"crankhold/internal/loop"
+	"crankhold/internal/platform"
+	"crankhold/internal/resp"
+	"crankhold/internal/route"
+	"crankhold/internal/router"
+	"crankhold/internal/thrift"
+	"crankhold/policy"
+)
+
+const (
+	// lingerFor is how long after SIGTERM new requests are still to be expected: connections come
+	// for 0.4 s, requests on open ones for 0.2 s more; what came within 0.7 s must be answered.
+	lingerFor = 750 * time.Millisecond
+
+	// flushFor is how long slow clients may take their answers in, and notices be delivered. The
+	// platform kills 3.7 s after SIGTERM at the earliest.
+	flushFor     = 3500 * time.Millisecond
+	probeTimeout = 250 * time.Millisecond
+	procs        = 4 // so that a poller asleep in the kernel does not hold up the loop
+)
+
+// Files names the files beside the platform's that a service reads; "" for none.
+type Files struct {
+	Webhook string
+	Export  string
+	Routes  string
+}
+
+// Serve runs the function router until a signal ends it. On SIGHUP it takes over what reread returns, and reads
+// the routes again.
+func Serve(c *platform.Config, files Files, reread func() (*platform.Config, error)) error {
+	// Two channels, so that SIGHUPs in a row can't crowd out a SIGTERM. One that comes while a file is
+	// being read has it read once more; further ones add nothing.
+	signals, hangups := make(chan os.Signal, 4), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	defer signal.Stop(hangups)
+	runtime.GOMAXPROCS(procs)
+	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
+	module, err := policy.New(c.Module, c.Random)
+	if err != nil {
+		return err
+	}
+	var classes []string
+	for _, k := range c.Network.Classes {
+		classes = append(classes, k.Name)
+	}
+	lp := loop.New(loop.Config{MaxAccepted: c.ClientConns(), MaxFiles: c.Limits.Sockets,
+		MaxQueued: c.Share(8 << 20), MaxUnread: c.Share(32 << 20)})
+	core := router.New(module, router.Limits{MaxOpen: c.MaxOpen(), MaxBytes: c.Share(24 << 20), RetryAfter: c.TurnedAway(),
+		MaxAttempts: c.Module.MaxAttempts, OrderTimeout: c.Module.OrderTimeout, ProbeTimeout: probeTimeout})
+	pool := resp.New(resp.Config{Classes: classes, ReportFields: c.Module.ReportFields,
+		DialTimeout: platform.Millis(c.Network.Limits.DialTimeoutMs), KeepAlive: platform.Millis(c.Network.Limits.KeepaliveMs),
+		PerConn: c.Network.Limits.StreamsPerConn, MaxConns: c.WorkerConns(),
+		Dial: func(addr string, timeout time.Duration, h loop.Dialled) resp.Line {
+			return lp.Dial("tcp", addr, timeout, h)
+		}}, core)
+	core.Use(pool)
+	names := directory.New(c.Names,
+		func(addr string, h loop.Dialled) directory.Line { return lp.Dial("udp", addr, time.Second, h) },
+		func(list []directory.Worker) { follow(lp, core, pool, c, list) })
+	if err := names.Start(c.Known); err != nil {
+		return err
+	}
+	routes, err := readRoutes(files.Routes, c)
+	if err != nil {
+		return err
+	}
+	if routes != nil {
+		core.SetRoutes(routes)
+		slog.Info("routes_on", "file", files.Routes, "routes", len(routes.Routes()), "pools", len(routes.Pools()))
+	}
+	hooks, err := newHooks(files, c, lp, core)
+	if err != nil {
+		return err
+	}
+	stopping := time.Duration(0)
+	// Good once there is a worker to send to, and no longer once we stop.
+	front := thrift.New(core, classes, lp.Now, func() bool { return names.Size() > 0 && stopping == 0 })
+	lp.Listen(c.Listen, front.Accept)
+	if err := lp.Start(); err != nil {
+		return err
+	}
+	slog.Info("started", "name", c.Name, "listen", c.Listen)
+
+	ended := make(chan struct{})
+	defer close(ended)
+	go func() {
+		for {
+			select {
+			case <-hangups: // the file is read and checked here, so that calls go on meanwhile
+				fresh, err := reread()
+				var routes *route.Table
+				var wrong error
+				if err == nil {
+					routes, wrong = readRoutes(files.Routes, c)
+				}
+				lp.Post(func() { reload(lp, core, names, c, fresh, err, routes, wrong) })
+			case <-ended:
+				return
+			}
+		}
+	}()
+	go func() {
+		for {
+			var s os.Signal
+			select {
+			case s = <-signals:
+			case <-ended:
+				return
+			}
+			lp.Post(func() {
+				printCounters(core, names, hooks)
+				if s != syscall.SIGUSR1 && stopping == 0 {
+					stopping = lp.Now()
+					slog.Info("stopping", "signal", s)
+				}
+			})
+		}
+	}()
+	swept, looked := time.Duration(0), time.Duration(0)
+	lp.Run(func(now time.Duration) {
+		core.SetNow(now)
+		pool.SetNow(now)
+	}, func(now time.Duration) time.Duration {
+		next := min(core.Turn(now), names.Turn(now), hooks.turn(now))
+		if now-looked >= resp.SweepEvery {
+			looked = now
+			pool.Sweep(now)
+		}
+		if now-swept >= time.Second {
+			swept = now
+			hooks.sweep(now)
+		}
+		if stopping > 0 {
+			since := now - stopping
+			core.Draining = since >= lingerFor
+			done := core.Open() == 0 && (lp.Unwritten() == 0 && hooks.open() == 0 || since >= flushFor)
+			if since >= lingerFor && done {
+				lp.Stop()
+			}
+			next = min(next, now+10*time.Millisecond)
+		}
+		return next
+	})
+	hooks.close()
+	printCounters(core, names, hooks)
+	slog.Info("stopped")
+	return nil
+}
+
+// reload takes over what can change while the program runs: the directory's address and the routes. A file that
+// can't be used changes nothing; of two files one may be used and the other not.
+func reload(lp *loop.Loop, core *router.Core, names *directory.Client, c, fresh *platform.Config, err error, routes *route.Table, wrong error) {
+	if err != nil {
+		slog.Warn("reload_failed", "err", err)
+		return
+	}
+	slog.Info("reloaded", "names", fresh.Names)
+	names.Move(lp.Now(), fresh.Names)
+	if changed := c.NeedsRestart(fresh); len(changed) > 0 {
+		slog.Warn("restart_needed", "settings", changed)
+	}
+	swapRoutes(core, c, routes, wrong)
+}
+
+// follow hands a list of workers to those who need it.
+func follow(lp *loop.Loop, core *router.Core, pool *resp.Pool, c *platform.Config, list []directory.Worker) {
+	l := policy.WorkerList{Kind: policy.ListWhole}
+	present := map[policy.WorkerID]bool{}
+	var labels []route.Worker
+	for _, w := range list {
+		e := policy.WorkerEntry{Worker: w.ID(), State: w.State, Weight: w.Weight, Cell: w.Cell,
+			Zone: max(slices.Index(c.Network.FailureDomains, w.Zone), 0)}
+		if w.Started > 0 {
+			e.Started = max(lp.FromUnix(time.UnixMilli(w.Started)), 1)
+		}
+		present[e.Worker] = true
+		pool.Set(e.Worker, w.Addr, w.State)
+		l.Workers = append(l.Workers, e)
+		labels = append(labels, route.Worker{ID: e.Worker, Name: w.Name, Kind: w.Kind, Zone: w.Zone, Cell: w.Cell, MemoryMB: c.KindMemoryMB(w.Kind)})
+		slog.Info("worker", "name", w.Name, "addr", w.Addr, "state", w.State, "weight", w.Weight, "started", w.Started)
+	}
+	pool.Retain(present)
+	core.SetList(l)
+	core.SetLabels(labels)
+}
--- a/internal/thrift/front.go
+++ b/internal/thrift/front.go
@@ -4,7 +4,7 @@
 import (
 	"bytes"
 	"encoding/binary"
-	"log"
+	"log/slog"
 	"math"
 	"net/netip"
 	"strconv"
@@ -122,7 +122,7 @@
 	f := c.front
 	f.closed++
 	if now := f.clock(); now-f.told > time.Second { // not once for each: whoever can connect could fill the log
-		log.Printf("event=clients_closed front=thrift count=%d err=%q", f.closed, err)
+		slog.Warn("clients_closed", "front", "thrift", "count", f.closed, "err", err)
 		f.closed, f.told = 0, now
 	}
 	c.line.Close()
--- a/internal/webhook/ledger.go
+++ b/internal/webhook/ledger.go
@@ -9,7 +9,7 @@
 	"hash/crc32"
 	"io"
 	"io/fs"
-	"log"
+	"log/slog"
 	"os"
 	"path/filepath"
 	"syscall"
@@ -204,7 +204,7 @@
 	select {
 	case l.work <- job{e: e}:
 	default:
-		log.Printf("event=ledger_line_dropped id=%q state=%s", e.ID, e.State)
+		slog.Warn("ledger_line_dropped", "id", e.ID, "state", e.State)
 	}
 }
 
@@ -246,7 +246,7 @@
 	}
 	for i, j := range batch {
 		if errs[i] != nil {
-			log.Printf("event=ledger_refused id=%q err=%q", j.e.ID, errs[i])
+			slog.Error("ledger_refused", "id", j.e.ID, "err", errs[i])
 		}
 		if j.done != nil {
 			j.done(errs[i])
--- a/internal/webhook/receiver.go
+++ b/internal/webhook/receiver.go
@@ -10,7 +10,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"net/netip"
 	"time"
 
@@ -307,7 +307,7 @@
 func (v *Receiver) complain(event string, err error) {
 	if now := v.clock(); now >= v.quiet {
 		v.quiet = now + time.Second
-		log.Printf("event=%s front=webhook err=%q", event, err)
+		slog.Warn(event, "front", "webhook", "err", err)
 	}
 }
 
--- a/internal/webhook/sender.go
+++ b/internal/webhook/sender.go
@@ -7,7 +7,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"log"
+	"log/slog"
 	"math/rand/v2"
 	"net/url"
 	"strconv"
@@ -211,7 +211,7 @@
 		s.Sent.Delivered++
 		return
 	}
-	log.Printf("event=notice_not_delivered id=%s try=%d status=%d err=%q", n.id, n.tries, status, fmt.Sprint(err))
+	slog.Warn("notice_not_delivered", "id", n.id, "try", n.tries, "status", status, "err", err)
 	if n.tries >= s.cfg.Sender.Attempts || status == 410 {
 		s.Sent.GivenUp++
 		return
--- a/policy/api.go
+++ b/policy/api.go
@@ -181,8 +181,47 @@
 	Work     time.Duration // hint of its work; 0 where not told
 	Left     time.Duration // until the client gives up
 	Repeated bool          // the client has tried before
+	Terms    *Terms        // what its route tightens; nil: nothing
 }
 
+// Terms tighten for a request what the settings allow. They never widen it.
+type Terms struct {
+	Pool         Pool          // the workers that it may go to
+	Attempts     int           // in all; 0: as the settings allow
+	AgainIfRan   int           // further attempts after one that may have run; below 0: as the settings allow
+	AgainIfUnrun int           // and after ones that never ran
+	Limit        time.Duration // of each attempt; 0: until the client gives up
+	SecondAfter  time.Duration // a second copy of a Safe request goes out then; 0: never
+	Aim          time.Duration // the wanted time; 0: the class's
+}
+
+// Pool is a set of workers with bounds on what its requests use. It keeps the counts and decides nothing else.
+type Pool interface {
+	Has(w WorkerID) bool
+	Room() bool // a further attempt may be out
+	Sent()      // an attempt is out
+	Ended()     // it is no longer
+	// MayOrder tells whether a load order is within the pool's share of a ration; Ordered counts one.
+	MayOrder(now time.Duration, ration float64) bool
+	Ordered(now time.Duration)
+	// Spill returns the pool that takes a request which this one can't, and counts it, or nil.
+	Spill(now time.Duration) Pool
+}
+
+// settingsAlone are the terms of a request whose route tightens nothing.
+var settingsAlone = Terms{Pool: allWorkers{}, AgainIfRan: -1, AgainIfUnrun: -1}
+
+// allWorkers is the pool of them all, without bounds of its own.
+type allWorkers struct{}
+
+func (allWorkers) Has(WorkerID) bool                    { return true }
+func (allWorkers) Room() bool                           { return true }
+func (allWorkers) Sent()                                {}
+func (allWorkers) Ended()                               {}
+func (allWorkers) MayOrder(time.Duration, float64) bool { return true }
+func (allWorkers) Ordered(time.Duration)                {}
+func (allWorkers) Spill(time.Duration) Pool             { return nil }
+
 // Abandoned says that the client has left; no answer is owed any more.
 type Abandoned struct{ Request RequestID }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,6 +35,7 @@
 	beatToken = 0
 	askToken  = 1
 	doneToken = 1 << 32 // plus the request
+	copyToken = 1 << 33 // plus the request
 )
 
 // Policy takes one dispatcher's decisions.
@@ -130,6 +131,9 @@
 	ran          *attempt // the first attempt that may have run
 	done, stream bool
 	over         bool      // beyond its tenant's share
+	pool         Pool      // the workers that it may go to
+	again        int       // attempts after one that may have run
+	copying      bool      // a second copy is being sent
 	shunned      []*worker // turned it away or failed it
 }
 
@@ -137,6 +141,7 @@
 	req            *request
 	number         int
 	w              *worker
+	pool           Pool
 	sent, expected time.Duration
 	inFlight       int
 	cold, likely   bool // thought cold; at a home where a copy likely stood
@@ -215,6 +220,8 @@
 			p.beat()
 		} else if e.Token == askToken {
 			p.emit(Subscribe{On: true})
+		} else if e.Token >= copyToken {
+			p.secondCopy(p.reqs[RequestID(e.Token-copyToken)])
 		} else if r := p.reqs[RequestID(e.Token-doneToken)]; r != nil && e.Token >= doneToken && !r.stream {
 			p.finish(r, 0)
 		}
@@ -247,9 +254,8 @@
 			return false
 		}
 		if a.Count > 0 && p.cfg.LoadWindow > 0 {
-			p.arrivals, p.orders = p.recent(p.arrivals, p.cfg.LoadWindow-1),
-				p.recent(p.orders, p.cfg.LoadWindow)
-			if float64(len(p.orders)+1) > p.cfg.LoadFree+p.cfg.LoadShare*float64(len(p.arrivals)) {
+			p.orders = p.recent(p.orders, p.cfg.LoadWindow)
+			if float64(len(p.orders)+1) > p.ration() {
 				return false
 			}
 			p.orders = append(p.orders, p.now)
@@ -271,14 +277,22 @@
 	return true
 }
 
+// ration is how many load orders the window may hold now.
+func (p *Policy) ration() float64 {
+	p.arrivals = p.recent(p.arrivals, p.cfg.LoadWindow-1)
+	return p.cfg.LoadFree + p.cfg.LoadShare*float64(len(p.arrivals))
+}
+
 // recent drops what is older than span.
 func (p *Policy) recent(times []time.Duration, span time.Duration) []time.Duration {
 	return slices.DeleteFunc(times, func(t time.Duration) bool { return t < p.now-span })
 }
 
-// maySend tells whether the rules let r go to w now. No second attempt goes out beside a first anywhere.
+// maySend tells whether the rules let r go to w now. No second attempt goes out beside a first, but for the
+// one copy that a route's terms ask for.
 func (p *Policy) maySend(r *request, w *worker) bool {
-	return !r.done && !r.stream && r.outstand == 0 && w.State == Ready && p.now < r.deadline &&
+	return !r.done && !r.stream && (r.outstand == 0 || r.outstand == 1 && r.copying) && w.State == Ready &&
+		p.now < r.deadline && r.pool.Has(w.Worker) && r.pool.Room() &&
 		p.repeatable(r, w) && p.coldRoom(w, r.Class)
 }
 
@@ -287,7 +301,11 @@
 	if p.cfg.MaxAttempts > 0 && len(r.attempts) >= p.cfg.MaxAttempts {
 		return false
 	}
-	c, ran := &p.classes[r.Class], r.ran
+	c, ran, t, n := &p.classes[r.Class], r.ran, r.Terms, len(r.attempts)
+	if t.Attempts > 0 && n >= t.Attempts || ran != nil && t.AgainIfRan >= 0 && r.again >= t.AgainIfRan ||
+		ran == nil && !r.copying && t.AgainIfUnrun >= 0 && n > t.AgainIfUnrun {
+		return false
+	}
 	if ran == nil || c.Repeat == Safe {
 		return true
 	}
@@ -387,7 +405,10 @@
 		f.loadTime = p.classes[e.Class].Aim // not told: as long as an answer may take
 	}
 	e.Left = max(e.Left, 0)
-	r := &request{Arrived: e, fn: f, deadline: p.now + e.Left}
+	if e.Terms == nil {
+		e.Terms = &settingsAlone
+	}
+	r := &request{Arrived: e, fn: f, deadline: p.now + e.Left, pool: e.Terms.Pool}
 	p.reqs[e.Request] = r
 	if e.Tenant >= 0 && e.Tenant < len(p.tenants) { // a second's worth may be saved up, and chance
 		b := &p.tenants[e.Tenant]
@@ -536,6 +557,14 @@
 		return
 	}
 	cands, until := p.candidates(r), p.now
+	for len(cands) == 0 && p.repeatable(r, nil) { // its pool can't take it
+		next := r.pool.Spill(p.now)
+		if next == nil {
+			break
+		}
+		r.pool = next
+		cands = p.candidates(r)
+	}
 	at, discount := p.homeOf(r, cands)
 	if p.now < p.gate && len(cands) > 0 { // nothing begins a load, as far as we know
 		until = p.gate
@@ -588,8 +617,12 @@
 // mayYet tells whether waiting may help r, which no worker may take now: one that is set aside or just
 // started may take it later, or none is listed. What else would be held until its deadline is ended.
 func (p *Policy) mayYet(r *request) bool {
+	if !r.pool.Room() {
+		return false // a cap is no queue
+	}
 	return p.ready == 0 && p.repeatable(r, nil) || slices.ContainsFunc(p.fleet, func(w *worker) bool {
-		return w.State == Ready && !slices.Contains(r.shunned, w) && p.repeatable(r, w)
+		return w.State == Ready && r.pool.Has(w.Worker) && !slices.Contains(r.shunned, w) &&
+			p.repeatable(r, w)
 	})
 }
 
@@ -599,7 +632,11 @@
 // The wait is the time in which the queue drains to where r is let in.
 func (p *Policy) shed(r *request, w *worker, score float64) (shed bool, wait float64) {
 	c := &p.classes[r.Class]
-	start, aim := 0.5, float64(c.Aim)
+	own := float64(c.Aim)
+	if r.Terms.Aim > 0 {
+		own = min(own, float64(r.Terms.Aim))
+	}
+	start, aim := 0.5, own
 	for i := range p.classes {
 		if o := &p.classes[i]; p.density(o) > 1.5*p.density(c) {
 			start, aim = 0.25, min(aim, float64(o.Aim))
@@ -607,7 +644,7 @@
 	}
 	if r.over {
 		start = 0.15 * p.cfg.OverShareWorth
-	} else if score > float64(c.Aim) {
+	} else if score > own {
 		start = 0.15
 	}
 	others := (1 - 1/float64(p.cfg.Peers)) * w.delay.now(p.now) // what they queue at the best worker
@@ -634,12 +671,19 @@
 
 func (p *Policy) send(r *request, w *worker, expected time.Duration, likely bool) {
 	load, i := p.loadLeft(w, r), w.instance(r.fn.id)
-	if !p.emit(Send{Request: r.Request, Worker: w.Worker}) {
+	if !p.emit(Send{Request: r.Request, Worker: w.Worker, Limit: r.Terms.Limit}) {
 		return
 	}
-	a := &attempt{req: r, number: len(r.attempts), w: w, sent: p.now, expected: expected,
+	a := &attempt{req: r, number: len(r.attempts), w: w, pool: r.pool, sent: p.now, expected: expected,
 		inFlight: len(w.out), cold: load > 0, likely: likely}
 	r.attempts = append(r.attempts, a)
+	a.pool.Sent()
+	if r.ran != nil {
+		r.again++
+	}
+	if after := r.Terms.SecondAfter; after > 0 && a.number == 0 {
+		p.emit(SetTimer{After: after, Token: copyToken + uint64(r.Request)})
+	}
 	if !r.over && a.number == 0 && r.Tenant >= 0 && r.Tenant < len(p.tenants) {
 		p.tenants[r.Tenant].level-- // only what is sent counts: a refused call's repeats are the same call
 	}
@@ -657,6 +701,26 @@
 	}
 }
 
+// secondCopy sends r to another worker too, one that it need not load at, when the first is yet to answer.
+func (p *Policy) secondCopy(r *request) {
+	if r == nil || r.outstand != 1 || !p.cfg.SecondAttempts || p.classes[r.Class].Repeat != Safe {
+		return
+	}
+	first := r.attempts[slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.ended })].w
+	r.copying = true
+	var at *worker
+	best := float64(r.deadline - p.now)
+	for _, w := range p.candidates(r) {
+		if score := p.predict(w, r); w != first && !p.cold(w, r) && score < best {
+			at, best = w, score
+		}
+	}
+	if at != nil {
+		p.send(r, at, time.Duration(best), false)
+	}
+	r.copying = false
+}
+
 // ended takes in how an attempt ended and decides what follows.
 func (p *Policy) ended(e AttemptEnded) {
 	r := p.reqs[e.Request]
@@ -666,6 +730,7 @@
 	a := r.attempts[e.Attempt]
 	w, i := a.w, a.w.instance(r.fn.id)
 	a.ended, r.outstand, i.inFlight = true, r.outstand-1, i.inFlight-1
+	a.pool.Ended()
 	w.out = slices.DeleteFunc(w.out, func(o *attempt) bool { return o == a })
 	if !e.Outcome.NeverRan() && r.ran == nil {
 		r.ran = a
@@ -825,9 +890,11 @@
 // order has a missing function loaded at w, with r to follow.
 func (p *Policy) order(r *request, w *worker, i *instance) bool {
 	if !i.ordered {
-		if !p.emit(OrderLoad{Worker: w.Worker, Function: r.Function, Count: 1}) {
+		if p.cfg.LoadWindow > 0 && !r.pool.MayOrder(p.now, p.ration()) ||
+			!p.emit(OrderLoad{Worker: w.Worker, Function: r.Function, Count: 1}) {
 			return false
 		}
+		r.pool.Ordered(p.now)
 		w.orders++
 		i.ordered, i.loading = true, p.now+time.Duration(p.loadTime(r.fn))
 	}
--- /dev/null
+++ b/policy/terms_test.go
@@ -0,0 +1,294 @@
+package policy
+
+import (
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+)
+
+// pool is a stand-in for a route's pool.
+type pool struct {
+	members      map[WorkerID]bool
+	room         int
+	out, most    int
+	ended        int
+	orders, may  int
+	next         *pool
+	spill, asked int
+}
+
+func (p *pool) Has(w WorkerID) bool                  { return p.members[w] }
+func (p *pool) Room() bool                           { return p.out < p.room }
+func (p *pool) Sent()                                { p.out++; p.most = max(p.most, p.out) }
+func (p *pool) Ended()                               { p.out--; p.ended++ }
+func (p *pool) MayOrder(time.Duration, float64) bool { return p.orders < p.may }
+func (p *pool) Ordered(time.Duration)                { p.orders++ }
+func (p *pool) Spill(time.Duration) Pool {
+	if p.asked++; p.next == nil || p.spill == 0 {
+		return nil
+	}
+	p.spill--
+	return p.next
+}
+
+func newPool(room int, members ...WorkerID) *pool {
+	p := &pool{members: map[WorkerID]bool{}, room: room, may: 100}
+	for _, w := range members {
+		p.members[w] = true
+	}
+	return p
+}
+
+// under has a request arrive under terms.
+func (b *bed) under(class int, t Terms) (RequestID, []Action) {
+	b.id++
+	return b.id, b.do(Arrived{Request: b.id, Class: class, Function: 7, Lanes: 4, LoadTime: time.Second, Left: 4 * time.Second, Terms: &t})
+}
+
+func open(p *pool) Terms { return Terms{Pool: p, AgainIfRan: -1, AgainIfUnrun: -1} }
+
+func TestPoolBoundsTheWorkers(t *testing.T) {
+	b := newBed(t, config(), 4)
+	p := newPool(100, 3)
+	for range 30 {
+		_, acts := b.under(0, open(p))
+		if s, ok := first[Send](acts); !ok || s.Worker != 3 {
+			t.Fatalf("%v, want worker 3", acts)
+		}
+	}
+	if p.out != 30 {
+		t.Errorf("%d attempts counted, 30 are out", p.out)
+	}
+	empty := newPool(100, 99)
+	if _, acts := b.under(0, open(empty)); !has[Refuse](acts) {
+		t.Errorf("a pool with no worker: %v, want a refusal at once", acts)
+	}
+}
+
+// Guards the cap at every instant, and that what is beyond it is refused at once and not queued.
+func TestCapIsKeptAndNoQueue(t *testing.T) {
+	b := newBed(t, config(), 4)
+	p := newPool(2, 1, 2)
+	one, acts := b.under(0, open(p))
+	s, _ := first[Send](acts)
+	b.under(0, open(p))
+	if _, acts := b.under(0, open(p)); !has[Refuse](acts) {
+		t.Errorf("over the cap: %v, want a refusal at once", acts)
+	}
+	if len(b.p.held) > 0 {
+		t.Error("a call over the cap is held")
+	}
+	b.do(AttemptEnded{Request: one, Worker: s.Worker, Outcome: Served, Closed: true, Took: ms})
+	if _, acts := b.under(0, open(p)); !has[Send](acts) || p.most != 2 {
+		t.Errorf("room again: %v, at most %d out", acts, p.most)
+	}
+}
+
+func TestFallsBackWhereThePoolCant(t *testing.T) {
+	b := newBed(t, config(), 4)
+	p, next := newPool(1, 1), newPool(100, 4)
+	p.next, p.spill = next, 1
+	b.under(0, open(p))
+	_, acts := b.under(0, open(p))
+	if s, ok := first[Send](acts); !ok || s.Worker != 4 || next.out != 1 || p.out != 1 {
+		t.Errorf("a full pool's call: %v, want worker 4", acts)
+	}
+	if _, acts := b.under(0, open(p)); !has[Refuse](acts) {
+		t.Errorf("beyond the spill: %v, want a refusal", acts)
+	}
+	// A call that may not be sent again has nothing to spill.
+	asked := p.asked
+	q := newPool(100, 2)
+	q.next, q.spill = next, 100
+	id, acts := b.under(2, open(q))
+	s, _ := first[Send](acts)
+	acts = b.do(AttemptEnded{Request: id, Worker: s.Worker, Outcome: Reset})
+	if !has[Fail](acts) || has[Send](acts) || q.asked > 0 || p.asked != asked {
+		t.Errorf("an order that may have run: %v, want a failure", acts)
+	}
+}
+
+// The two kinds of further attempts are counted apart: after one that may have run, and after those that never
+// ran, which alone an order gets.
+func TestFurtherAttemptsByKind(t *testing.T) {
+	run := func(class int, terms Terms, outcomes ...Outcome) (sends int, last []Action) {
+		b := newBed(t, config(), 6)
+		terms.Pool = newPool(100, 1, 2, 3, 4, 5, 6)
+		id, acts := b.under(class, terms)
+		for _, o := range outcomes {
+			s, ok := first[Send](acts)
+			if !ok {
+				break
+			}
+			sends++
+			acts = b.do(AttemptEnded{Request: id, Attempt: sends - 1, Worker: s.Worker, Outcome: o})
+		}
+		return sends, acts
+	}
+	free := Terms{AgainIfRan: -1, AgainIfUnrun: -1}
+	for _, c := range []struct {
+		name     string
+		class    int
+		terms    Terms
+		outcomes []Outcome
+		sends    int
+	}{
+		{"as the settings allow", 0, free, []Outcome{Errored, Errored, Errored, Errored, Errored, Errored}, 5},
+		{"attempts", 0, Terms{Attempts: 2, AgainIfRan: -1, AgainIfUnrun: -1}, []Outcome{Errored, Errored, Errored}, 2},
+		{"attempts beyond the settings", 0, Terms{Attempts: 9, AgainIfRan: -1, AgainIfUnrun: -1}, []Outcome{Errored, Errored, Errored, Errored, Errored, Errored, Errored}, 5},
+		{"none if it may have run", 0, Terms{AgainIfRan: 0, AgainIfUnrun: -1}, []Outcome{Errored, Errored}, 1},
+		{"none if it may have run, after some that never ran", 0, Terms{AgainIfRan: 0, AgainIfUnrun: -1}, []Outcome{Full, Full, Errored, Full}, 3},
+		{"one if it may have run", 0, Terms{AgainIfRan: 1, AgainIfUnrun: -1}, []Outcome{Errored, Errored, Errored}, 2},
+		{"none if it never ran", 0, Terms{AgainIfRan: -1, AgainIfUnrun: 0}, []Outcome{Full, Full}, 1},
+		{"one if it never ran", 0, Terms{AgainIfRan: -1, AgainIfUnrun: 1}, []Outcome{Full, Full, Full}, 2},
+		{"an order that never ran goes again", 2, free, []Outcome{Full, Full, Full}, 3},
+		{"an order that may have run does not, whatever the terms", 2, Terms{AgainIfRan: 5, AgainIfUnrun: 5}, []Outcome{Full, Errored, Errored}, 2},
+	} {
+		if got, acts := run(c.class, c.terms, c.outcomes...); got != c.sends {
+			t.Errorf("%s: %d sends, want %d; %v", c.name, got, c.sends, acts)
+		}
+	}
+}
+
+// Guards second copies: after the time, to another worker, one that has the function; of a repeatable request
+// alone, and only where the settings allow two attempts at once.
+func TestSecondCopy(t *testing.T) {
+	start := func(class int, allowed bool) (*bed, RequestID, Send, uint64) {
+		cfg := config()
+		cfg.SecondAttempts = allowed
+		b := newBed(t, cfg, 4)
+		for w := range WorkerID(4) {
+			b.p.workers[w+1].instance(7).warmUntil = b.now + time.Hour
+		}
+		terms := open(newPool(100, 1, 2, 3, 4))
+		terms.SecondAfter = 100 * ms
+		id, acts := b.under(class, terms)
+		s, _ := first[Send](acts)
+		for _, a := range acts {
+			if k, ok := a.(SetTimer); ok && k.Token >= copyToken {
+				return b, id, s, k.Token
+			}
+		}
+		t.Fatalf("no timer: %v", acts)
+		return nil, 0, s, 0
+	}
+	b, id, one, token := start(0, true)
+	b.now += 100 * ms
+	acts := b.do(TimerFired{Token: token})
+	two, ok := first[Send](acts)
+	if !ok || two.Worker == one.Worker {
+		t.Fatalf("%v beside worker %d, want another worker", acts, one.Worker)
+	}
+	if acts := b.do(TimerFired{Token: token}); has[Send](acts) {
+		t.Error("a third copy goes out")
+	}
+	acts = b.do(AttemptEnded{Request: id, Attempt: 1, Worker: two.Worker, Outcome: Served, Closed: true, Took: 50 * ms})
+	if c, ok := first[Cancel](acts); !ok || c.Attempt != 0 {
+		t.Errorf("the copy is served: %v, want the first called off", acts)
+	}
+	for name, x := range map[string]struct {
+		class   int
+		allowed bool
+	}{"an order": {2, true}, "a keyed request": {1, true}, "settings that allow none": {0, false}} {
+		b, _, _, token := start(x.class, x.allowed)
+		b.now += 100 * ms
+		if acts := b.do(TimerFired{Token: token}); has[Send](acts) {
+			t.Errorf("%s gets a second copy: %v", name, acts)
+		}
+	}
+}
+
+func TestAttemptLimitAndOrders(t *testing.T) {
+	cfg := config()
+	cfg.MissWhenCold, cfg.MayOrder, cfg.LoadWindow, cfg.LoadFree = true, true, 10*time.Second, 5
+	b := newBed(t, cfg, 3)
+	p := newPool(100, 1, 2, 3)
+	p.may = 1
+	terms := open(p)
+	terms.Limit = 300 * ms
+	orders := 0
+	for f := range FunctionID(3) {
+		b.id++
+		acts := b.do(Arrived{Request: b.id, Function: 20 + f, Lanes: 1, LoadTime: time.Second, Left: 4 * time.Second, Terms: &terms})
+		s, ok := first[Send](acts)
+		if !ok || s.Limit != terms.Limit {
+			t.Fatalf("%v, want a limit of %v", acts, terms.Limit)
+		}
+		if has[OrderLoad](b.do(AttemptEnded{Request: b.id, Worker: s.Worker, Outcome: Missed})) {
+			orders++
+		}
+	}
+	if orders != 1 || p.orders != 1 {
+		t.Errorf("%d orders, %d counted; the pool's share is 1", orders, p.orders)
+	}
+}
+
+// Guards the counts of pools over random histories: what is counted as out is what is out, under its cap, and
+// nothing stays counted when all has ended.
+func TestPoolCountsComeOut(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := config()
+		cfg.SecondAttempts = true
+		b := newBed(t, cfg, 4)
+		pools := []*pool{newPool(3, 1, 2), newPool(2, 2, 3, 4)}
+		pools[0].next, pools[0].spill = pools[1], 1000
+		type out struct {
+			id     RequestID
+			number int
+			w      WorkerID
+		}
+		var outs []out
+		sent := map[RequestID]int{}
+		var tokens []uint64
+		take := func(acts []Action) {
+			for _, a := range acts {
+				switch a := a.(type) {
+				case Send:
+					outs = append(outs, out{a.Request, sent[a.Request], a.Worker})
+					sent[a.Request]++
+				case SetTimer:
+					if a.Token >= copyToken {
+						tokens = append(tokens, a.Token)
+					}
+				}
+			}
+			if n := pools[0].out + pools[1].out; n != len(outs) || pools[0].out > 3 || pools[1].out > 2 {
+				rt.Fatalf("%d and %d are counted, %d are out", pools[0].out, pools[1].out, len(outs))
+			}
+		}
+		end := func(i int, o Outcome) {
+			x := outs[i]
+			outs = append(outs[:i], outs[i+1:]...)
+			take(b.do(AttemptEnded{Request: x.id, Attempt: x.number, Worker: x.w, Outcome: o, Took: 10 * ms,
+				Closed: o == Served}))
+		}
+		for range rapid.IntRange(1, 60).Draw(rt, "steps") {
+			b.now += time.Duration(rapid.IntRange(0, 200).Draw(rt, "passes")) * ms
+			switch what := rapid.IntRange(0, 4).Draw(rt, "what"); {
+			case what <= 1:
+				terms := open(pools[rapid.IntRange(0, 1).Draw(rt, "pool")])
+				terms.SecondAfter = 100 * ms
+				_, acts := b.under(rapid.SampledFrom([]int{0, 0, 2}).Draw(rt, "class"), terms)
+				take(acts)
+			case what == 2 && len(outs) > 0:
+				o := rapid.SampledFrom([]Outcome{Served, Errored, Full, Reset, TimedOut, Cancelled, Missed, Moot}).Draw(rt, "end")
+				end(rapid.IntRange(0, len(outs)-1).Draw(rt, "which"), o)
+			case what == 3 && len(tokens) > 0:
+				take(b.do(TimerFired{Token: tokens[0]}))
+				tokens = tokens[1:]
+			case what == 4 && b.id > 0:
+				take(b.do(Abandoned{Request: RequestID(rapid.IntRange(1, int(b.id)).Draw(rt, "leaves"))}))
+			}
+		}
+		for id := range b.id {
+			take(b.do(Abandoned{Request: id + 1}))
+		}
+		for len(outs) > 0 {
+			end(0, Cancelled)
+		}
+		if pools[0].out != 0 || pools[1].out != 0 {
+			rt.Fatalf("%d and %d stay counted", pools[0].out, pools[1].out)
+		}
+	})
+}
