Measure routing on stand-ins, show it by a demo, and look sooner at a pool that died

Need: routes had tests but no proof under load, and no page; after its return a dead pool refused a third of its calls for four seconds.

Cause: spells of being set aside grow to 8 s, and only their end has a worker looked at. While nobody else can take a call, those set aside are now looked at every half second.

--- /dev/null
+++ b/cmd/lab/main.go
@@ -0,0 +1,23 @@
+// Command lab measures the router on loopback stand-ins, an experiment a sub-command.
+package main
+
+import (
+	"fmt"
+	"io"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"crankhold/internal/lab"
+)
+
+func main() {
+	var cli struct {
+		Config lab.Config `cmd:"" help:"The configuration language and its routing: cost, and a load with a reload each second and the death of a pool."`
+	}
+	k := kong.Parse(&cli, kong.Name("lab"), kong.Description("Measures the router on this machine's loopback."), kong.BindTo(os.Stdout, (*io.Writer)(nil)))
+	if err := k.Run(); err != nil {
+		fmt.Fprintln(os.Stderr, "lab:", err)
+		os.Exit(1)
+	}
+}
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -46,6 +46,7 @@
 	Fmt     fmtCmd     `cmd:"" help:"Print routes files in their one form. With --check, exits with 1 where a file is not in it."`
 	Diff    diffCmd    `cmd:"" help:"Say what a routes file changes in behaviour against another. Exits with 1 where something changes."`
 	Explain explainCmd `cmd:"" help:"Say which route, pool and policy a call meets, and the lines that say so. Exits with 1 where it is refused."`
+	Demo    demoCmd    `cmd:"" help:"Serve a directory, three stand-in workers, a router and a trickle of calls in one process, and show what happens until it is interrupted."`
 	Version versionCmd `cmd:"" help:"Print the program's version."`
 }
 
@@ -111,9 +112,11 @@
 var operatorFiles = []struct{ variable, file string }{
 	{"CRANKHOLD_WEBHOOK", "deploy/webhook.toml"},
 	{"CRANKHOLD_IPFIX", "deploy/ipfix.toml"},
-	{"CRANKHOLD_ROUTES", "deploy/routes.crank"},
 }
 
+// Routes may come and go while the program runs, so their file is looked for each time.
+const routesVariable, routesFile = "CRANKHOLD_ROUTES", "deploy/routes.crank"
+
 // chosen returns the file to read, or none where there is no such file and none was asked for.
 func chosen(env Env, i int) string {
 	if path := env.Getenv(operatorFiles[i].variable); path != "" {
@@ -139,7 +142,11 @@
 	if err != nil {
 		return err
 	}
-	return service.Serve(p, service.Files{Webhook: chosen(env, 0), Export: chosen(env, 1), Routes: chosen(env, 2)}, read)
+	opts := service.Options{Webhook: chosen(env, 0), Export: chosen(env, 1), Routes: env.Getenv(routesVariable)}
+	if opts.RoutesMay = opts.Routes == ""; opts.RoutesMay {
+		opts.Routes = routesFile
+	}
+	return service.Serve(p, opts, read)
 }
 
 type versionCmd struct {
--- /dev/null
+++ b/internal/command/demo.go
@@ -0,0 +1,31 @@
+package command
+
+import (
+	"log/slog"
+	"time"
+
+	"crankhold/internal/demo"
+	"crankhold/internal/logs"
+)
+
+type demoCmd struct {
+	For time.Duration `help:"Stop after this time; 0 goes on until interrupted." default:"0s"`
+}
+
+// Run shows the demo. Log lines are shown from warnings on, unless a level is asked for.
+func (d demoCmd) Run(c *cli, env Env) error {
+	level := c.LogLevel
+	if level == "info" {
+		level = "warn"
+	}
+	l, err := logs.ParseLevel(level)
+	if err != nil {
+		return unreadable(err)
+	}
+	slog.SetDefault(logs.New(env.Err, l))
+	stop := make(chan struct{})
+	if d.For > 0 {
+		time.AfterFunc(d.For, func() { close(stop) })
+	}
+	return demo.Run(env.Out, stop)
+}
--- a/internal/service/hooks.go
+++ b/internal/service/hooks.go
@@ -23,15 +23,15 @@
 }
 
 // newHooks reads the files and joins what they turn on to the loop and the core.
-func newHooks(files Files, c *platform.Config, lp *loop.Loop, core *router.Core) (*hooks, error) {
+func newHooks(opts Options, c *platform.Config, lp *loop.Loop, core *router.Core) (*hooks, error) {
 	h := &hooks{}
 	h.servers[router.Thrift], _ = netip.ParseAddrPort(c.Listen) // checked when it was read
-	if path := files.Webhook; path != "" {
+	if path := opts.Webhook; path != "" {
 		if err := h.addWebhooks(path, c, lp, core); err != nil {
 			return nil, err
 		}
 	}
-	if path := files.Export; path != "" {
+	if path := opts.Export; path != "" {
 		cfg, err := ipfix.ReadConfig(path)
 		if err != nil {
 			return nil, err
--- a/internal/service/routes.go
+++ b/internal/service/routes.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"io/fs"
 	"log/slog"
 	"os"
 	"path/filepath"
@@ -30,11 +31,14 @@
 }
 
 // readRoutes makes a table out of the routes file, or none where there is no file.
-func readRoutes(name string, c *platform.Config) (*route.Table, error) {
-	if name == "" {
+func readRoutes(opts Options, c *platform.Config) (*route.Table, error) {
+	if opts.Routes == "" {
+		return nil, nil
+	}
+	r, err := CheckFile(opts.Routes, c.Routing())
+	if opts.RoutesMay && errors.Is(err, fs.ErrNotExist) {
 		return nil, nil
 	}
-	r, err := CheckFile(name, c.Routing())
 	if err != nil {
 		return nil, err
 	}
@@ -57,8 +61,15 @@
 		}
 		return
 	}
-	if t == nil || old == nil {
-		return // there is none, at a start and so now
+	switch {
+	case t == nil && old != nil: // whoever wants none in force says so by a restart
+		slog.Error("routes_refused", "err", "the file is gone; the routes that it held stay in force")
+		return
+	case t == nil:
+		return
+	case old == nil:
+		putInForce(core, t)
+		return
 	}
 	changes := route.Diff(old, t, c.Once(), false)
 	core.SetRoutes(t)
@@ -68,6 +79,12 @@
 	}
 }
 
+// putInForce has calls go by a first table.
+func putInForce(core *router.Core, t *route.Table) {
+	core.SetRoutes(t)
+	slog.Info("routes_on", "routes", len(t.Routes()), "pools", len(t.Pools()))
+}
+
 // faultLines parts an error into its faults.
 func faultLines(err error) []string {
 	var list syntax.Faults
--- a/internal/service/serve_test.go
+++ b/internal/service/serve_test.go
@@ -110,7 +110,7 @@
 	ended := make(chan error, 1)
 	reread := make(chan error, 1)
 	go func() {
-		ended <- Serve(cfg, Files{}, func() (*platform.Config, error) {
+		ended <- Serve(cfg, Options{}, func() (*platform.Config, error) {
 			fresh, err := read()
 			reread <- err
 			return fresh, err
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -35,16 +35,19 @@
 	procs        = 4 // so that a poller asleep in the kernel does not hold up the loop
 )
 
-// Files names the files beside the platform's that a service reads; "" for none.
-type Files struct {
+// Options says what a service reads beside the platform's configuration; "" for no file.
+type Options struct {
 	Webhook string
 	Export  string
 	Routes  string
+	// RoutesMay has a routes file that isn't there count as none, at a start and at a reload.
+	RoutesMay bool
+	Stop      <-chan struct{} // has it stop as SIGTERM does; may be nil
 }
 
 // Serve runs the function router until a signal ends it. On SIGHUP it takes over what reread returns, and reads
 // the routes again.
-func Serve(c *platform.Config, files Files, reread func() (*platform.Config, error)) error {
+func Serve(c *platform.Config, opts Options, reread func() (*platform.Config, error)) error {
 	// Two channels, so that SIGHUPs in a row can't crowd out a SIGTERM. One that comes while a file is
 	// being read has it read once more; further ones add nothing.
 	signals, hangups := make(chan os.Signal, 4), make(chan os.Signal, 1)
@@ -79,15 +82,14 @@
 	if err := names.Start(c.Known); err != nil {
 		return err
 	}
-	routes, err := readRoutes(files.Routes, c)
+	routes, err := readRoutes(opts, c)
 	if err != nil {
 		return err
 	}
 	if routes != nil {
-		core.SetRoutes(routes)
-		slog.Info("routes_on", "file", files.Routes, "routes", len(routes.Routes()), "pools", len(routes.Pools()))
+		putInForce(core, routes)
 	}
-	hooks, err := newHooks(files, c, lp, core)
+	hooks, err := newHooks(opts, c, lp, core)
 	if err != nil {
 		return err
 	}
@@ -110,7 +112,7 @@
 				var routes *route.Table
 				var wrong error
 				if err == nil {
-					routes, wrong = readRoutes(files.Routes, c)
+					routes, wrong = readRoutes(opts, c)
 				}
 				lp.Post(func() { reload(lp, core, names, c, fresh, err, routes, wrong) })
 			case <-ended:
@@ -123,6 +125,8 @@
 			var s os.Signal
 			select {
 			case s = <-signals:
+			case <-opts.Stop:
+				s, opts.Stop = syscall.SIGTERM, nil
 			case <-ended:
 				return
 			}
--- a/internal/webhook/receiver.go
+++ b/internal/webhook/receiver.go
@@ -22,6 +22,7 @@
 const (
 	maxOutcomes = 20000       // remembered deliveries; beyond it new ones are refused
 	maxDrain    = 256 << 10   // bytes read and dropped behind a malformed request
+	maxTenant   = 128         // bytes of a tenant's name
 	refusedFor  = time.Second // Retry-After where the module gives no advice
 )
 
@@ -86,6 +87,7 @@
 	Data      struct {
 		Class    string  `json:"class"`
 		Key      string  `json:"key"`
+		Tenant   string  `json:"tenant"`
 		WaitMs   float64 `json:"wait_ms"`
 		MemoryMB float64 `json:"memory_mb"`
 		Lanes    float64 `json:"lanes"`
@@ -340,6 +342,8 @@
 		return r, at, fmt.Errorf("type is not %s", callType)
 	case !ok:
 		return r, at, errors.New("unknown class")
+	case len(p.Data.Tenant) > maxTenant:
+		return r, at, errors.New("tenant is too long")
 	case len(p.Data.Body) > maxCall:
 		return r, at, errors.New("body is too long")
 	}
@@ -360,7 +364,7 @@
 	if wait == 0 || wait > k.Longest {
 		wait = k.Longest
 	}
-	return router.Request{Front: router.Webhook, Class: class, ID: newID(), Key: p.Data.Key, Function: policy.FunctionID(f),
+	return router.Request{Front: router.Webhook, Class: class, ID: newID(), Key: p.Data.Key, Function: policy.FunctionID(f), Tenant: p.Data.Tenant,
 		MemoryMB: p.Data.MemoryMB, Lanes: p.Data.Lanes, LoadTime: time.Duration(p.Data.LoadMs * 1e6),
 		Body: p.Data.Body, Deadline: v.clock() + wait - router.AnswerMargin}, p.Timestamp, nil
 }
--- a/internal/webhook/webhook_test.go
+++ b/internal/webhook/webhook_test.go
@@ -161,6 +161,25 @@
 // The model of a connection: deliveries reach the core however they are split, and each is answered
 // once and in turn, with the status that the outcome maps to; a webhook-id runs once unless it was
 // refused unrun.
+// The tenant is taken from under the signature, and routes go by it; an endless one is refused.
+func TestTenantIsTheSignedOne(t *testing.T) {
+	c := &core{}
+	v, _ := newReceiver(t, c, "")
+	for i, x := range []struct{ tenant, want string }{{"east", "east"}, {"", ""}, {strings.Repeat("x", 200), "none taken"}} {
+		body := bytes.Replace(call("dim-level", "x", noon), []byte(`"tenant":""`), fmt.Appendf(nil, `"tenant":%q`, x.tenant), 1)
+		before := len(c.taken)
+		l := &standin.Line{}
+		v.serve(l, netip.AddrPort{}).Data(deliveryOf(secret, fmt.Sprint("t", i), noon, body))
+		got := "none taken"
+		if len(c.taken) > before {
+			got = c.taken[before].Tenant
+		}
+		if got != x.want {
+			t.Errorf("tenant %.20q: %q, want %q; %s", x.tenant, got, x.want, l.Wrote.String())
+		}
+	}
+}
+
 func TestConnection(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		k, l := &core{}, &standin.Line{}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -573,6 +573,11 @@
 		})
 	}
 	if len(cands) == 0 {
+		for _, w := range p.fleet { // nobody else can take it: those set aside are looked at sooner
+			if w.strikes > 0 && r.pool.Has(w.Worker) {
+				w.aside = min(w.aside, max(p.now, w.probed+slowBeat/2))
+			}
+		}
 		if float64(r.deadline-until) > p.run(r) && p.mayYet(r) {
 			p.held = append(p.held, r)
 		} else {
--- a/policy/terms_test.go
+++ b/policy/terms_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"reflect"
 	"testing"
 	"time"
 
@@ -292,3 +293,71 @@
 		}
 	})
 }
+
+// Guards what stands without a routes file: a request under terms that tighten nothing, in a pool of all workers,
+// gets the same actions as one without terms, on the same events.
+func TestOpenTermsChangeNothing(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		cfg := config()
+		cfg.MissWhenCold, cfg.MayOrder, cfg.LoadWindow, cfg.LoadFree, cfg.LoadShare = true, true, 10*time.Second, 4, 0.3
+		plain, under := newBed(t, cfg, 4), newBed(t, cfg, 4)
+		terms := open(newPool(1<<30, 1, 2, 3, 4))
+		terms.Pool.(*pool).may = 1 << 30
+		var outs []Send
+		number := map[RequestID]int{}
+		both := func(ev Event) {
+			a := plain.do(ev)
+			if e, ok := ev.(Arrived); ok {
+				e.Terms = &terms
+				ev = e
+			}
+			b := under.do(ev)
+			if !reflect.DeepEqual(a, b) {
+				rt.Fatalf("%+v: %v without terms, %v with open ones", ev, a, b)
+			}
+			for _, x := range a {
+				if s, ok := x.(Send); ok {
+					outs = append(outs, s)
+				}
+			}
+		}
+		for i := range rapid.IntRange(1, 80).Draw(rt, "steps") {
+			pass := time.Duration(rapid.IntRange(0, 300).Draw(rt, "passes")) * ms
+			plain.now, under.now = plain.now+pass, under.now+pass
+			switch what := rapid.IntRange(0, 3).Draw(rt, "what"); {
+			case what <= 1 || len(outs) == 0:
+				both(Arrived{Request: RequestID(i + 1), Class: rapid.IntRange(0, 2).Draw(rt, "class"), Function: FunctionID(rapid.IntRange(0, 3).Draw(rt, "function")),
+					Lanes: 1, LoadTime: time.Second, Left: 4 * time.Second})
+			case what == 2:
+				s := outs[0]
+				outs = outs[1:]
+				o := rapid.SampledFrom([]Outcome{Served, Served, Errored, Full, Reset, TimedOut, Missed, Unreachable}).Draw(rt, "end")
+				both(AttemptEnded{Request: s.Request, Attempt: number[s.Request], Worker: s.Worker, Outcome: o, Note: WasWarm, Closed: o == Served, Took: 80 * ms})
+				number[s.Request]++
+			default:
+				both(TimerFired{Token: beatToken})
+			}
+		}
+	})
+}
+
+// Guards the return of a pool that died whole: while nobody else can take its calls, its workers are looked at
+// every half second, not after spells that have grown.
+func TestDeadPoolIsLookedAtSooner(t *testing.T) {
+	b := newBed(t, config(), 2)
+	p := newPool(100, 1)
+	for range 6 { // spells of 1, 2, 4 and 8 s
+		b.now += 10 * time.Second
+		b.p.now = b.now
+		b.p.strike(b.p.workers[1])
+	}
+	w := b.p.workers[1]
+	w.probed = b.now
+	if left := w.aside - b.now; left < 7*time.Second {
+		t.Fatalf("set aside for %v", left)
+	}
+	b.under(0, open(p))
+	if left := w.aside - b.now; left > 500*ms {
+		t.Errorf("looked at in %v with a call that waits for it", left)
+	}
+}
