Reach a worker by several addresses, and move calls that never left to another one

Need: a worker was one address; when that failed it was lost to us, and a second entry of its process was a second worker.

Change: internal/path decides order (RFC 6724, 8305), staggered dials, back-off with trials, return to the better address, and which entries are one worker; it has no I/O and no clock. The pool races dials, ties a call to one connection once its last byte is handed to the kernel, and moves it before that and only then. Addresses come from A and AAAA records, worker blocks of the routes file, and TXT records where deploy/addresses.toml says so. A drain of one entry drains all entries of its worker.

--- a/internal/arch/arch_test.go
+++ b/internal/arch/arch_test.go
@@ -14,12 +14,12 @@
 const module = "crankhold/"
 
 // pure are the packages that decide. They may import each other, and of the standard library what is listed.
-var pure = map[string]bool{"policy": true, "internal/route": true, "internal/lang/syntax": true}
+var pure = map[string]bool{"policy": true, "internal/route": true, "internal/lang/syntax": true, "internal/path": true}
 
 // harmless is what of the standard library does no I/O and reads no clock by itself; time is for its types, and
 // its functions that read the clock are looked for by name.
 var harmless = []string{"bytes", "cmp", "container/heap", "encoding/binary", "errors", "fmt", "iter", "maps", "math", "math/bits",
-	"math/rand/v2", "slices", "sort", "strconv", "strings", "time", "unicode", "unicode/utf8"}
+	"math/rand/v2", "slices", "sort", "strconv", "strings", "time", "unicode", "unicode/utf8", "net/netip"}
 
 // wires are what the core and the decisions may not know of.
 var wires = []string{"internal/loop", "internal/thrift", "internal/webhook", "internal/resp", "internal/directory", "internal/ipfix",
--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -112,6 +112,7 @@
 var operatorFiles = []struct{ variable, file string }{
 	{"CRANKHOLD_WEBHOOK", "deploy/webhook.toml"},
 	{"CRANKHOLD_IPFIX", "deploy/ipfix.toml"},
+	{"CRANKHOLD_ADDRESSES", "deploy/addresses.toml"},
 }
 
 // Routes may come and go while the program runs, so their file is looked for each time.
@@ -142,7 +143,7 @@
 	if err != nil {
 		return err
 	}
-	opts := service.Options{Webhook: chosen(env, 0), Export: chosen(env, 1), Routes: env.Getenv(routesVariable)}
+	opts := service.Options{Webhook: chosen(env, 0), Export: chosen(env, 1), Addresses: chosen(env, 2), Routes: env.Getenv(routesVariable)}
 	if opts.RoutesMay = opts.Routes == ""; opts.RoutesMay {
 		opts.Routes = routesFile
 	}
--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -5,7 +5,6 @@
 import (
 	"errors"
 	"fmt"
-	"hash/fnv"
 	"log/slog"
 	"math/rand/v2"
 	"net/netip"
@@ -15,6 +14,7 @@
 	"time"
 
 	"crankhold/internal/loop"
+	"crankhold/internal/path"
 	"crankhold/policy"
 )
 
@@ -28,7 +28,7 @@
 // Worker is one worker as the directory knows it.
 type Worker struct {
 	Name    string
-	Addr    string
+	Addrs   []path.Addr
 	Zone    string
 	Kind    string
 	State   policy.WorkerState
@@ -37,13 +37,6 @@
 	Started int64 // Unix milliseconds of a late start, or 0
 }
 
-// ID returns the worker's id for the module, the same at every front end: it is made of the name.
-func (w Worker) ID() policy.WorkerID {
-	h := fnv.New64a()
-	h.Write([]byte(w.Name))
-	return policy.WorkerID(h.Sum64())
-}
-
 // Known is the start's list in the configuration.
 type Known struct {
 	Offset uint32  `json:"offset"`
@@ -85,9 +78,11 @@
 	now     time.Duration
 	serial  uint32
 	workers map[string]Worker
-	silent  bool   // what goes wrong has been logged since the last good answer
-	Asked   uint64 // queries sent
-	Heard   uint64 // answers that could be read
+	silent  bool // what goes wrong has been logged since the last good answer
+	// UnixInTXT takes unix=/path in a worker's TXT record as one more address of it, an extension of ours.
+	UnixInTXT bool
+	Asked     uint64 // queries sent
+	Heard     uint64 // answers that could be read
 }
 
 // socket is one socket to the directory. Each has queries of its own: what comes late on one that was
@@ -126,10 +121,11 @@
 			clear(c.workers)
 		}
 		for _, m := range e.Topology.Members {
-			if _, err := netip.ParseAddrPort(m.HostPort); err != nil {
+			addr, err := path.ParseHost(m.HostPort)
+			if err != nil {
 				return fmt.Errorf("known: worker %q: %w", m.ID, err)
 			}
-			w := Worker{Name: m.ID, Addr: m.HostPort, Zone: m.Locality, Kind: m.Flavor, Weight: m.Size, Cell: m.Cell, Started: m.UpSince}
+			w := Worker{Name: m.ID, Addrs: []path.Addr{addr}, Zone: m.Locality, Kind: m.Flavor, Weight: m.Size, Cell: m.Cell, Started: m.UpSince}
 			switch m.Phase {
 			case "Ready":
 				w.State = policy.Ready
@@ -253,11 +249,13 @@
 	}
 	workers := map[string]Worker{}
 	for _, s := range r.srv {
-		addr, ok := r.addrs[s.target]
-		if !ok {
-			return fmt.Errorf("no address for %s", s.target)
+		w := Worker{State: policy.Ready, Weight: float64(s.weight) / 10}
+		for _, ip := range r.addrs[s.target] {
+			// One that nobody can connect to is passed over: others of the same worker may be good.
+			if addr, err := path.ParseHost(netip.AddrPortFrom(ip, s.port).String()); err == nil {
+				w.Addrs = append(w.Addrs, addr)
+			}
 		}
-		w := Worker{Addr: netip.AddrPortFrom(addr, s.port).String(), State: policy.Ready, Weight: float64(s.weight) / 10}
 		w.Name, w.Zone, _ = strings.Cut(s.target, ".")
 		w.Zone, _, _ = strings.Cut(w.Zone, ".")
 		if s.priority > 0 {
@@ -269,12 +267,20 @@
 			switch {
 			case name == "kind":
 				w.Kind = value
+			case name == "unix" && c.UnixInTXT:
+				if addr, err := path.Parse(path.Unix, value); err == nil {
+					w.Addrs = append(w.Addrs, addr)
+				}
 			case name == "cell" && err == nil:
 				w.Cell = int(n)
 			case name == "started" && err == nil:
 				w.Started = n
 			}
 		}
+		if len(w.Addrs) == 0 {
+			return fmt.Errorf("no address for %s", s.target)
+		}
+		w.Addrs = w.Addrs[:min(len(w.Addrs), path.MaxAddrs)]
 		workers[w.Name] = w
 	}
 	c.serial, c.workers = r.serial, workers
--- a/internal/directory/directory_test.go
+++ b/internal/directory/directory_test.go
@@ -4,6 +4,7 @@
 	"encoding/binary"
 	"errors"
 	"fmt"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -11,6 +12,7 @@
 	"pgregory.net/rapid"
 
 	"crankhold/internal/loop"
+	"crankhold/internal/path"
 	"crankhold/internal/standin"
 	"crankhold/policy"
 )
@@ -87,14 +89,17 @@
 	return binary.BigEndian.Uint16(b)
 }
 
+// at is one address of IPv4.
+func at(addr string) []path.Addr { return []path.Addr{{Network: path.TCP4, Addr: addr}} }
+
 func TestListIsFollowed(t *testing.T) {
 	d := newDesk(t)
 	if len(d.list) != 1 {
 		t.Fatalf("list %v", d.list)
 	}
 	d.sock.Data(answer(d.ask(), 4, 0, 1))
-	want := []Worker{{Name: "s-0", Addr: "10.1.0.0:10080", Zone: "east", Kind: "std", State: policy.Ready, Weight: 4, Cell: 2, Started: 5},
-		{Name: "s-1", Addr: "10.1.0.1:10080", Zone: "east", Kind: "std", State: policy.Draining, Weight: 4, Cell: 2, Started: 5}}
+	want := []Worker{{Name: "s-0", Addrs: at("10.1.0.0:10080"), Zone: "east", Kind: "std", State: policy.Ready, Weight: 4, Cell: 2, Started: 5},
+		{Name: "s-1", Addrs: at("10.1.0.1:10080"), Zone: "east", Kind: "std", State: policy.Draining, Weight: 4, Cell: 2, Started: 5}}
 	if fmt.Sprint(d.list) != fmt.Sprint(want) {
 		t.Fatalf("list %v, want %v", d.list, want)
 	}
@@ -203,3 +208,33 @@
 		}
 	})
 }
+
+// A worker has all addresses of its target: several A and AAAA records, those that nobody can connect to left out,
+// and a Unix socket where that extension is on.
+func TestWorkerHasAllItsAddresses(t *testing.T) {
+	for _, on := range []bool{false, true} {
+		d := newDesk(t)
+		d.UnixInTXT = on
+		b := answer(d.ask(), 4, 0)
+		record := func(typ uint16, data []byte) {
+			binary.BigEndian.PutUint16(b[10:], binary.BigEndian.Uint16(b[10:])+1)
+			for _, l := range []string{"s-0", "east", "hosts"} {
+				b = append(append(b, byte(len(l))), l...)
+			}
+			b = append(binary.BigEndian.AppendUint16(append(b, 0), typ), 0, 1, 0, 0, 0, 1)
+			b = append(binary.BigEndian.AppendUint16(b, uint16(len(data))), data...)
+		}
+		record(typeA, []byte{10, 1, 0, 77})
+		record(typeAAAA, netip.MustParseAddr("fd00::1").AsSlice())
+		record(typeAAAA, netip.MustParseAddr("ff02::1").AsSlice()) // multicast
+		record(typeTXT, append([]byte{byte(len("unix=/run/w.sock"))}, "unix=/run/w.sock"...))
+		d.sock.Data(b)
+		want := "[10.1.0.0:10080 10.1.0.77:10080 [fd00::1]:10080]"
+		if on {
+			want = "[10.1.0.0:10080 10.1.0.77:10080 [fd00::1]:10080 unix:/run/w.sock]"
+		}
+		if len(d.list) != 1 || fmt.Sprint(d.list[0].Addrs) != want {
+			t.Errorf("extension %v: %v, want addresses %s", on, d.list, want)
+		}
+	}
+}
--- a/internal/directory/dns.go
+++ b/internal/directory/dns.go
@@ -10,11 +10,12 @@
 
 // Record types of RFC 1035 and RFC 2782.
 const (
-	typeA   = 1
-	typeSOA = 6
-	typeTXT = 16
-	typeSRV = 33
-	classIN = 1
+	typeA    = 1
+	typeSOA  = 6
+	typeTXT  = 16
+	typeAAAA = 28
+	typeSRV  = 33
+	classIN  = 1
 )
 
 const (
@@ -39,7 +40,7 @@
 type reply struct {
 	serial uint32
 	srv    []srv
-	addrs  map[string]netip.Addr
+	addrs  map[string][]netip.Addr
 	texts  map[string][]string
 }
 
@@ -59,7 +60,7 @@
 }
 
 func parseReply(b []byte) (reply, error) {
-	r := reply{addrs: map[string]netip.Addr{}, texts: map[string][]string{}}
+	r := reply{addrs: map[string][]netip.Addr{}, texts: map[string][]string{}}
 	if b[2]&0x80 == 0 {
 		return r, errors.New("not an answer")
 	}
@@ -112,7 +113,9 @@
 			r.srv = append(r.srv, srv{binary.BigEndian.Uint16(data), binary.BigEndian.Uint16(data[2:]),
 				binary.BigEndian.Uint16(data[4:]), target})
 		case typ == typeA && size == 4:
-			r.addrs[owner] = netip.AddrFrom4([4]byte(data))
+			r.addrs[owner] = append(r.addrs[owner], netip.AddrFrom4([4]byte(data)))
+		case typ == typeAAAA && size == 16: // RFC 3596, section 2.2
+			r.addrs[owner] = append(r.addrs[owner], netip.AddrFrom16([16]byte(data)))
 		case typ == typeTXT:
 			for len(data) > 0 {
 				n := int(data[0])
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -133,6 +133,7 @@
 	h      Handler
 	out    [][]byte
 	unread atomic.Int64  // bytes that the peer has yet to take
+	unsent int           // bytes that had not left when it ended
 	whole  int           // messages that have come
 	heard  time.Duration // when the last of them came or was answered, or the connection came
 	begun  time.Duration // when the beginning of the next one came; 0: none has
@@ -343,7 +344,9 @@
 		}
 	case gotEnd:
 		delete(l.accepted, c)
-		l.unread.Add(-c.unread.Swap(0)) // nobody takes it any more
+		left := c.unread.Swap(0) // nobody takes it any more
+		l.unread.Add(-left)
+		c.unsent += int(max(left, 0))
 		first := !c.ended
 		c.ended = true
 		if c.h != nil && first && c.isUp {
@@ -484,6 +487,8 @@
 			if err := c.gather(); err != nil {
 				c.fail(err)
 			}
+		} else {
+			c.unsent += size(c.out)
 		}
 		clear(c.out)
 		c.out = c.out[:0]
@@ -502,23 +507,20 @@
 		out = out[len(some):]
 		n := 0
 		if len(some) > 1 && c.unread.Load() == 0 {
-			size := 0
-			for _, b := range some {
-				size += len(b)
-			}
 			var err error
 			n, err = c.nc.Writev(some)
 			if err != nil && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, syscall.EINTR) {
+				c.unsent += size(some) + size(out)
 				return err
 			}
-			if n == size {
+			if n == size(some) {
 				continue
 			}
 			if n = max(n, 0); n > 0 {
 				c.owe(n) // as OnWrittenSize has already taken off
 			}
 		}
-		for _, b := range some {
+		for i, b := range some {
 			switch {
 			case n >= len(b):
 				n -= len(b)
@@ -528,6 +530,7 @@
 			default:
 				c.owe(len(b))
 				if _, err := c.nc.Write(b); err != nil {
+					c.unsent += size(some[i+1:]) + size(out)
 					return err
 				}
 			}
@@ -539,6 +542,17 @@
 	return nil
 }
 
+func size(bufs [][]byte) (n int) {
+	for _, b := range bufs {
+		n += len(b)
+	}
+	return n
+}
+
+// Unsent is how many of the last bytes that were written to a connection that has ended never left this program:
+// the kernel did not take them. What it took may have reached the peer.
+func (c *Conn) Unsent() int { return c.unsent }
+
 // owe counts bytes that the peer has yet to take; OnWrittenSize takes them off.
 func (c *Conn) owe(n int) {
 	c.unread.Add(int64(n))
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"crankhold/internal/loop"
+	"crankhold/internal/path"
 	"crankhold/internal/router"
 	"crankhold/policy"
 )
@@ -51,6 +52,9 @@
 type Line interface {
 	Write(bufs ...[]byte)
 	Close()
+	// Unsent is how many of the last bytes that were written never left this program. It is for a line that has
+	// ended: what a kernel took may have arrived.
+	Unsent() int
 }
 
 // Config holds the deployment's figures.
@@ -61,7 +65,8 @@
 	KeepAlive    time.Duration // a worker closes a connection that is idle for so long
 	PerConn      int           // calls at a time on one connection
 	MaxConns     int           // to all workers together
-	Dial         func(addr string, timeout time.Duration, h loop.Dialled) Line
+	Seed         uint64        // spreads the back-offs of addresses that failed
+	Dial         func(network, addr string, timeout time.Duration, h loop.Dialled) Line
 }
 
 // Pool holds the connections to all workers.
@@ -72,14 +77,24 @@
 	workers map[policy.WorkerID]*worker
 	calls   map[router.Attempt]*call
 	pings   uint64
+	dials   int // under way
+	Count   Counters
+}
+
+// Counters tells what became of connections.
+type Counters struct {
+	Dials, DialsFailed, Trials, TrialsFailed uint64
+	Moved                                    uint64 // calls that never left one connection and went to another
 }
 
 type worker struct {
 	id    policy.WorkerID
-	addr  string
+	paths *path.Set
+	addrs []path.Addr // as told last
 	ready bool
 	gone  bool
 	conns []*conn
+	trial *trial
 }
 
 // call is a RUN, a HOLD, a probe or a ping.
@@ -93,6 +108,9 @@
 	conn    *conn
 	written bool
 	broken  int // probe: connections that ended under it
+	moved   int // connections that ended before it had left whole
+	end     int // where it ends in what was written to its connection
+	left    time.Duration
 	sent    time.Duration
 }
 
@@ -108,7 +126,12 @@
 type conn struct {
 	pool    *Pool
 	w       *worker
-	line    Line
+	race    *path.Race
+	dials   []*dial
+	won     *dial // the one that came up
+	line    Line  // of it
+	addr    path.Addr
+	wrote   int // bytes
 	up      bool
 	closing bool             // closed by us, or retired: it takes nothing new
 	shut    bool             // closed by us: what still comes counts for nothing
@@ -132,28 +155,36 @@
 // SetNow moves the clock on.
 func (p *Pool) SetNow(now time.Duration) { p.now = max(p.now, now) }
 
-// Set tells of a worker's address and whether it takes anything new. What waits behind a dial to
-// one that no longer does is ended unsent: its dial may come up after the time allowed for sends.
-func (p *Pool) Set(id policy.WorkerID, addr string, state policy.WorkerState) {
+// Set tells of a worker's addresses, none for those that it has, and whether it takes anything new. What waits
+// behind a dial to one that no longer does is ended unsent: its dial may come up after the time allowed for sends.
+func (p *Pool) Set(id policy.WorkerID, addrs []path.Addr, state policy.WorkerState, prefer ...path.Network) {
 	w := p.workers[id]
 	if w == nil {
 		if state == policy.Gone {
 			return
 		}
-		w = &worker{id: id}
+		w = &worker{id: id, paths: path.New(p.cfg.Seed ^ uint64(id))}
 		p.workers[id] = w
 	}
-	if addr != "" && addr != w.addr {
-		// It restarted elsewhere; whatever listens at its old address may be another worker.
+	w.paths.Prefer(prefer...)
+	if len(addrs) > 0 && !slices.Equal(addrs, w.addrs) {
+		// It restarted elsewhere, or has fewer addresses; whatever listens at an old one may be another worker.
+		w.addrs = slices.Clone(addrs)
+		w.paths.Put(p.now, addrs)
 		for _, c := range slices.Clone(w.conns) {
-			c.retire()
+			if c.up && !w.paths.Has(c.addr) {
+				c.retire()
+			} else if !c.up {
+				c.restart()
+			}
 		}
-		w.addr = addr
+		w.endTrial()
 	}
 	if w.ready = state == policy.Ready; !w.ready {
 		for _, c := range w.conns {
 			c.dropQueue()
 		}
+		w.endTrial()
 	}
 	if w.gone = state == policy.Gone; w.gone {
 		p.CloseIdle(id)
@@ -164,14 +195,14 @@
 func (p *Pool) Retain(present map[policy.WorkerID]bool) {
 	for id := range p.workers {
 		if !present[id] {
-			p.Set(id, "", policy.Gone)
+			p.Set(id, nil, policy.Gone)
 		}
 	}
 }
 
 // Run sends a call.
 func (p *Pool) Run(id policy.WorkerID, a router.Attempt, r *router.Request, budget time.Duration) {
-	k := &call{kind: run, attempt: a, token: r.ID, body: r.Body}
+	k := &call{kind: run, attempt: a, token: r.ID, body: r.Body, left: budget}
 	k.head = frame(len(r.Body), "RUN", r.ID, fmt.Sprintf("queue=%s,path=%s,budget=%d",
 		p.cfg.Classes[r.Class], r.Key, max(budget.Milliseconds(), 1)))
 	if w := p.workers[id]; w != nil && w.ready {
@@ -198,7 +229,7 @@
 		return
 	}
 	c.take(k)
-	c.line.Write(array("STOP", k.token))
+	c.put(array("STOP", k.token))
 }
 
 // Hold sends an order to load; a count of 0 only asks.
@@ -245,7 +276,7 @@
 	if w := p.workers[id]; w != nil {
 		for _, c := range w.conns {
 			if c.up {
-				c.line.Write(array("FREE", fmt.Sprintf("%016x", uint64(f))))
+				c.put(array("FREE", fmt.Sprintf("%016x", uint64(f))))
 				return
 			}
 		}
@@ -272,13 +303,18 @@
 		for _, c := range slices.Clone(w.conns) {
 			c.ended.sweep(now)
 			switch {
-			case !c.up || c.closing && !c.idle():
+			case !c.up:
+				c.dial() // another address, where it is time
+			case !c.closing && w.paths.Better(now, c.addr):
+				c.retire()
+			case c.closing && !c.idle():
 			case c.idle() && (c.closing || now-c.used > time.Duration(idleMargin*float64(p.cfg.KeepAlive))):
 				c.close()
 			default:
 				c.watch()
 			}
 		}
+		p.try(w)
 		if w.gone && len(w.conns) == 0 {
 			delete(p.workers, id)
 		}
@@ -304,6 +340,7 @@
 	}
 	if c.pinged == 0 {
 		c.pinged = now
+		c.w.paths.Suspect(now, c.addr)
 		c.pool.pings++
 		k := &call{kind: ping, token: "n" + strconv.FormatUint(c.pool.pings, 10)}
 		k.head = array("NOOP", k.token)
@@ -311,20 +348,24 @@
 		return
 	}
 	if now-c.pinged > deadAfter && slices.ContainsFunc(c.w.conns, func(o *conn) bool { return o.proved > c.pinged }) {
+		c.w.paths.Failed(now, c.addr)
 		c.fault(errSilent)
 	}
 }
 
 // fault ends a connection that is of no further use.
 func (c *conn) fault(err error) {
-	slog.Warn("worker_closed", "addr", c.w.addr, "err", err)
+	slog.Warn("worker_closed", "addr", c.addr, "err", err)
 	c.close()
 }
 
 // close ends the connection; Closed follows. Nothing new goes to it: it would count as written.
 func (c *conn) close() {
 	c.closing, c.shut = true, true
-	c.line.Close()
+	if c.line != nil {
+		c.line.Close()
+	}
+	c.callOff()
 }
 
 // pick returns the connection for k: one that is up, else one that is being dialled, else a new
@@ -334,7 +375,7 @@
 	var best *conn
 	rank := 0
 	for _, c := range w.conns {
-		if c.closing || c.line == nil || c.open[k.token] != nil || k.kind == run &&
+		if c.closing || c.open[k.token] != nil || k.kind == run &&
 			(c.runs >= p.cfg.PerConn || c.ended.has(k.token) || c.ended.full()) {
 			continue
 		}
@@ -348,12 +389,12 @@
 			best, rank = c, r
 		}
 	}
-	if rank > 1 || len(w.conns) >= maxConns || w.addr == "" || !p.room() {
+	if rank > 1 || len(w.conns) >= maxConns || w.paths.Len() == 0 || !p.room() {
 		return best
 	}
-	c := &conn{pool: p, w: w, open: map[string]*call{}, used: p.now}
+	c := &conn{pool: p, w: w, open: map[string]*call{}, used: p.now, race: path.NewRace(w.paths.Candidates(), p.cfg.DialTimeout, k.left)}
 	w.conns = append(w.conns, c)
-	c.line = p.cfg.Dial(w.addr, p.cfg.DialTimeout, c)
+	c.dial()
 	return c
 }
 
@@ -362,8 +403,11 @@
 func (p *Pool) room() bool {
 	n, idle := 0, (*conn)(nil)
 	for _, w := range p.workers {
-		n += len(w.conns)
+		if w.trial != nil {
+			n++
+		}
 		for _, c := range w.conns {
+			n += max(len(c.dials), 1)
 			if c.up && !c.closing && c.idle() && (idle == nil || c.used < idle.used) {
 				idle = c
 			}
@@ -393,11 +437,19 @@
 func (c *conn) write(k *call) {
 	k.written, k.sent, c.used = true, c.pool.now, c.pool.now
 	if k.kind == run {
-		c.line.Write(k.head, k.body, lineEnd)
+		c.put(k.head, k.body, lineEnd)
 	} else {
-		c.line.Write(k.head)
+		c.put(k.head)
 	}
-	k.head, k.body = nil, nil
+	k.end = c.wrote
+}
+
+// put writes to the connection and counts.
+func (c *conn) put(bufs ...[]byte) {
+	for _, b := range bufs {
+		c.wrote += len(b)
+	}
+	c.line.Write(bufs...)
 }
 
 var lineEnd = []byte("\r\n")
@@ -430,6 +482,17 @@
 	c.queue = keep
 }
 
+// move sends a call that never left over another connection.
+func (p *Pool) move(w *worker, k *call) {
+	k.written, k.moved = false, k.moved+1
+	p.Count.Moved++
+	if c := p.pick(w, k); c != nil {
+		c.send(k)
+		return
+	}
+	p.end(k, policy.Unreachable)
+}
+
 // retire has c take nothing new; it closes once its calls have ended.
 func (c *conn) retire() {
 	if !c.up || c.idle() {
@@ -470,14 +533,8 @@
 	}
 }
 
-// Opened is the end of the dial. A refused or late one proves that nothing ran.
-func (c *conn) Opened(err error) {
-	if err != nil {
-		slog.Warn("dial_failed", "addr", c.w.addr, "err", err)
-		c.lost(policy.Unreachable)
-		return
-	}
-	c.up = true
+// begin hands over what waited for the connection to come up.
+func (c *conn) begin() {
 	queue := c.queue
 	c.queue = nil
 	for _, k := range queue {
@@ -485,12 +542,25 @@
 	}
 }
 
-// Closed is the end of the connection: what was written may have run.
-func (c *conn) Closed(error) { c.lost(policy.Reset) }
+// Closed is the end of the connection: what left whole may have run.
+func (c *conn) Closed(error) {
+	if c.heard == 0 && !c.shut {
+		c.w.paths.Failed(c.pool.now, c.addr) // it came up and was of no use
+	}
+	c.lost(policy.Reset)
+}
+
+// mostMoves bounds the connections that may end under a call before it has left.
+const mostMoves = 3
 
-// lost ends all that is open on c. Calls are written as soon as the dial is through, so those of a
-// dial that failed never left, and those of a connection that ended did.
+// lost ends all that is open on c. What waits for a dial never left, nor did a call of which some byte is still
+// here: a worker counts what has come whole, so it goes to another connection of the same worker. Any
+// other may have run.
 func (c *conn) lost(o policy.Outcome) {
+	left := c.wrote
+	if c.line != nil {
+		left -= c.line.Unsent()
+	}
 	w := c.w
 	for i, other := range w.conns {
 		if other == c {
@@ -502,6 +572,14 @@
 	clear(c.open)
 	c.queue = nil
 	for _, k := range open {
+		if k.kind < probe && k.written && k.end > left && k.moved < mostMoves && w.ready {
+			c.pool.move(w, k)
+			continue
+		}
+		if o == policy.Reset && k.kind < probe && k.written && k.end > left {
+			c.pool.end(k, policy.Unreachable)
+			continue
+		}
 		if k.kind == probe && o == policy.Reset && k.broken < probeTries {
 			// A connection that breaks tells nothing of its worker, which others may well be using. Over a
 			// new one a worker that died refuses, and one that is well answers.
@@ -564,6 +642,7 @@
 		return errSyntax
 	}
 	c.heard, c.pinged = c.pool.now, 0
+	c.w.paths.Heard(c.addr)
 	k := c.open[string(words[0])]
 	if k == nil {
 		return nil // a second copy, or of a call that was given up
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -10,6 +10,7 @@
 	"pgregory.net/rapid"
 
 	"crankhold/internal/loop"
+	"crankhold/internal/path"
 	"crankhold/internal/router"
 	"crankhold/internal/standin"
 	"crankhold/policy"
@@ -41,14 +42,17 @@
 	s := &sink{map[router.Attempt][]policy.Outcome{}, map[uint64][]policy.Outcome{}, map[router.Attempt]string{}}
 	var lines []*line
 	p := New(Config{Classes: []string{"dim-level"}, ReportFields: []string{"inflight"}, DialTimeout: time.Second,
-		KeepAlive: 30 * time.Second, PerConn: 2, MaxConns: 100, Dial: func(_ string, _ time.Duration, h loop.Dialled) Line {
+		KeepAlive: 30 * time.Second, PerConn: 2, MaxConns: 100, Dial: func(_, _ string, _ time.Duration, h loop.Dialled) Line {
 			lines = append(lines, &line{h: h})
 			return lines[len(lines)-1]
 		}}, s)
-	p.Set(1, "127.0.0.1:1", policy.Ready)
+	p.Set(1, at("127.0.0.1:1"), policy.Ready)
 	return p, s, &lines
 }
 
+// at is one address of IPv4.
+func at(addr string) []path.Addr { return []path.Addr{{Network: path.TCP4, Addr: addr}} }
+
 func request(id string) *router.Request {
 	return &router.Request{ID: id, Key: "00000000000000aa", Body: []byte("hello")}
 }
@@ -175,13 +179,13 @@
 				}
 			},
 			"drain": func(t *rapid.T) { // what waits behind a dial ends unsent at once
-				p.Set(1, "127.0.0.1:1", policy.Draining)
+				p.Set(1, at("127.0.0.1:1"), policy.Draining)
 				for _, a := range out {
 					if len(s.ended[a]) == 0 && len(wrote(id(a))) == 0 {
 						t.Fatalf("%v still waits to be sent to a draining worker", a)
 					}
 				}
-				p.Set(1, "127.0.0.1:1", policy.Ready)
+				p.Set(1, at("127.0.0.1:1"), policy.Ready)
 			},
 			"": func(t *rapid.T) {
 				for _, l := range *lines {
@@ -206,7 +210,7 @@
 func TestOrderBehindADialIsNotSentToADrainingWorker(t *testing.T) {
 	p, s, lines := newPool()
 	p.Hold(1, 5, 1, 9)
-	p.Set(1, "127.0.0.1:1", policy.Draining)
+	p.Set(1, at("127.0.0.1:1"), policy.Draining)
 	(*lines)[0].h.Opened(nil)
 	if got := (*lines)[0].Wrote.String(); got != "" || len(s.asked[9]) != 1 || s.asked[9][0] != policy.Full {
 		t.Errorf("wrote %q, ended %v", got, s.asked[9])
@@ -218,7 +222,7 @@
 	p, _, lines := newPool()
 	p.Probe(1, 1)
 	p.Retain(map[policy.WorkerID]bool{2: true})
-	p.Set(2, "127.0.0.1:1", policy.Ready)
+	p.Set(2, at("127.0.0.1:1"), policy.Ready)
 	p.Run(2, router.Attempt{Request: 1}, request("0123456789abcdef"), time.Second)
 	if len(*lines) != 2 {
 		t.Errorf("%d connections", len(*lines))
@@ -418,7 +422,7 @@
 	p, s, lines := newPool()
 	p.cfg.MaxConns = 3
 	for w := range policy.WorkerID(5) {
-		p.Set(w+1, fmt.Sprintf("127.0.0.1:%d", w+1), policy.Ready)
+		p.Set(w+1, at(fmt.Sprintf("127.0.0.1:%d", w+1)), policy.Ready)
 		p.Run(w+1, router.Attempt{Request: policy.RequestID(w)}, request(fmt.Sprintf("%016x", w)), time.Second)
 	}
 	if len(*lines) != 3 || s.ended[router.Attempt{Request: 4}][0] != policy.Unreachable {
@@ -440,7 +444,7 @@
 	for g := range 200 {
 		w := policy.WorkerID(g + 2)
 		p.Retain(map[policy.WorkerID]bool{w: true})
-		p.Set(w, "127.0.0.1:1", policy.Ready)
+		p.Set(w, at("127.0.0.1:1"), policy.Ready)
 		a := router.Attempt{Request: policy.RequestID(g)}
 		p.Run(w, a, request(fmt.Sprintf("%016x", g)), time.Second)
 		p.Hold(w, 7, 1, uint64(g))
--- a/internal/route/spec.go
+++ b/internal/route/spec.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"crankhold/internal/path"
 	"crankhold/policy"
 )
 
@@ -39,7 +40,11 @@
 	Cell     int // -1: not told
 	MemoryMB float64
 	Labels   map[string]string
-	At       string
+	// Addrs are further addresses of it, Prefer orders their networks, and Same names a worker that it is an alias of.
+	Addrs  []path.Addr
+	Prefer []path.Network
+	Same   string
+	At     string
 }
 
 // Selector picks workers: all that it names must hold. A name that ends in * is a prefix.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -269,6 +269,12 @@
 	return b.any.resolved[at]
 }
 
+// Static returns what the files say of a worker, for one of that name.
+func (t *Table) Static(name string) (Worker, bool) {
+	w, ok := t.labels[name]
+	return w, ok
+}
+
 // Terms returns what a route tightens for calls of a class.
 func (t *Table) Terms(r *Route, class int) *policy.Terms {
 	if class < len(t.once) && t.once[class] {
--- a/internal/service/counters.go
+++ b/internal/service/counters.go
@@ -4,12 +4,13 @@
 	"log/slog"
 
 	"crankhold/internal/directory"
+	"crankhold/internal/resp"
 	"crankhold/internal/router"
 	"crankhold/policy"
 )
 
 // printCounters logs what was taken, sent and answered.
-func printCounters(core *router.Core, d *directory.Client, h *hooks) {
+func printCounters(core *router.Core, pool *resp.Pool, d *directory.Client, h *hooks) {
 	n := &core.Count
 	for f, name := range []string{"thrift", "webhook"} {
 		slog.Info("counters", "front", name, "taken", n.Taken[f], "served", n.Served[f], "refused", n.Refused[f], "failed", n.Failed[f],
@@ -18,6 +19,8 @@
 	slog.Info("counters", append([]any{"sent", n.Sent, "overdue", n.Overdue}, byOutcome(n.Ended)...)...)
 	slog.Info("counters", append([]any{"orders", n.Orders, "unloads", n.Unloads}, byOutcome(n.OrderEnded)...)...)
 	slog.Info("counters", append([]any{"probes", n.Probes}, byOutcome(n.ProbeEnded)...)...)
+	k := pool.Count
+	slog.Info("counters", "dials", k.Dials, "dials_failed", k.DialsFailed, "trials", k.Trials, "trials_failed", k.TrialsFailed, "moved", k.Moved)
 	if t := core.Routes(); t != nil {
 		for _, p := range t.Pools() {
 			slog.Info("counters", "pool", p.Spec.Name, "workers", p.Size(), "calls", p.Calls, "in_flight", p.InFlight(), "peak", p.Peak(),
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -9,7 +9,6 @@
 	"os/signal"
 	"runtime"
 	"runtime/debug"
-	"slices"
 	"syscall"
 	"time"
 
@@ -40,6 +39,8 @@
 	Webhook string
 	Export  string
 	Routes  string
+	// Addresses names the file that says how workers' addresses are found.
+	Addresses string
 	// RoutesMay has a routes file that isn't there count as none, at a start and at a reload.
 	RoutesMay bool
 	Stop      <-chan struct{} // has it stop as SIGTERM does; may be nil
@@ -72,13 +73,19 @@
 	pool := resp.New(resp.Config{Classes: classes, ReportFields: c.Module.ReportFields,
 		DialTimeout: platform.Millis(c.Network.Limits.DialTimeoutMs), KeepAlive: platform.Millis(c.Network.Limits.KeepaliveMs),
 		PerConn: c.Network.Limits.StreamsPerConn, MaxConns: c.WorkerConns(),
-		Dial: func(addr string, timeout time.Duration, h loop.Dialled) resp.Line {
-			return lp.Dial("tcp", addr, timeout, h)
+		Seed: c.Random, Dial: func(network, addr string, timeout time.Duration, h loop.Dialled) resp.Line {
+			return lp.Dial(network, addr, timeout, h)
 		}}, core)
 	core.Use(pool)
+	staff := &staff{lp: lp, core: core, pool: pool, c: c}
 	names := directory.New(c.Names,
 		func(addr string, h loop.Dialled) directory.Line { return lp.Dial("udp", addr, time.Second, h) },
-		func(list []directory.Worker) { follow(lp, core, pool, c, list) })
+		staff.follow)
+	addresses, err := readAddresses(opts.Addresses)
+	if err != nil {
+		return err
+	}
+	names.UnixInTXT = addresses.UnixInTXT
 	if err := names.Start(c.Known); err != nil {
 		return err
 	}
@@ -88,6 +95,7 @@
 	}
 	if routes != nil {
 		putInForce(core, routes)
+		staff.again()
 	}
 	hooks, err := newHooks(opts, c, lp, core)
 	if err != nil {
@@ -114,7 +122,7 @@
 				if err == nil {
 					routes, wrong = readRoutes(opts, c)
 				}
-				lp.Post(func() { reload(lp, core, names, c, fresh, err, routes, wrong) })
+				lp.Post(func() { reload(staff, names, fresh, err, routes, wrong) })
 			case <-ended:
 				return
 			}
@@ -131,7 +139,7 @@
 				return
 			}
 			lp.Post(func() {
-				printCounters(core, names, hooks)
+				printCounters(core, pool, names, hooks)
 				if s != syscall.SIGUSR1 && stopping == 0 {
 					stopping = lp.Now()
 					slog.Info("stopping", "signal", s)
@@ -165,44 +173,23 @@
 		return next
 	})
 	hooks.close()
-	printCounters(core, names, hooks)
+	printCounters(core, pool, names, hooks)
 	slog.Info("stopped")
 	return nil
 }
 
 // reload takes over what can change while the program runs: the directory's address and the routes. A file that
 // can't be used changes nothing; of two files one may be used and the other not.
-func reload(lp *loop.Loop, core *router.Core, names *directory.Client, c, fresh *platform.Config, err error, routes *route.Table, wrong error) {
+func reload(s *staff, names *directory.Client, fresh *platform.Config, err error, routes *route.Table, wrong error) {
 	if err != nil {
 		slog.Warn("reload_failed", "err", err)
 		return
 	}
 	slog.Info("reloaded", "names", fresh.Names)
-	names.Move(lp.Now(), fresh.Names)
-	if changed := c.NeedsRestart(fresh); len(changed) > 0 {
+	names.Move(s.lp.Now(), fresh.Names)
+	if changed := s.c.NeedsRestart(fresh); len(changed) > 0 {
 		slog.Warn("restart_needed", "settings", changed)
 	}
-	swapRoutes(core, c, routes, wrong)
-}
-
-// follow hands a list of workers to those who need it.
-func follow(lp *loop.Loop, core *router.Core, pool *resp.Pool, c *platform.Config, list []directory.Worker) {
-	l := policy.WorkerList{Kind: policy.ListWhole}
-	present := map[policy.WorkerID]bool{}
-	var labels []route.Worker
-	for _, w := range list {
-		e := policy.WorkerEntry{Worker: w.ID(), State: w.State, Weight: w.Weight, Cell: w.Cell,
-			Zone: max(slices.Index(c.Network.FailureDomains, w.Zone), 0)}
-		if w.Started > 0 {
-			e.Started = max(lp.FromUnix(time.UnixMilli(w.Started)), 1)
-		}
-		present[e.Worker] = true
-		pool.Set(e.Worker, w.Addr, w.State)
-		l.Workers = append(l.Workers, e)
-		labels = append(labels, route.Worker{ID: e.Worker, Name: w.Name, Kind: w.Kind, Zone: w.Zone, Cell: w.Cell, MemoryMB: c.KindMemoryMB(w.Kind)})
-		slog.Info("worker", "name", w.Name, "addr", w.Addr, "state", w.State, "weight", w.Weight, "started", w.Started)
-	}
-	pool.Retain(present)
-	core.SetList(l)
-	core.SetLabels(labels)
+	swapRoutes(s.core, s.c, routes, wrong)
+	s.again()
 }
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -13,6 +13,7 @@
 type Line struct {
 	Wrote     bytes.Buffer
 	HasClosed bool
+	Left      int // of the last bytes that were written, what never left
 }
 
 // Write keeps bufs.
@@ -22,6 +23,9 @@
 	}
 }
 
+// Unsent is what the test says.
+func (l *Line) Unsent() int { return l.Left }
+
 // Close notes that the line is closed.
 func (l *Line) Close() { l.HasClosed = true }
 
