--- a/internal/fleet/directory.go
+++ b/internal/fleet/directory.go
@@ -7,11 +7,13 @@
 	"net"
 	"strings"
 	"sync"
+	"time"
 )
 
 // Entry is a worker as the directory lists it.
 type Entry struct {
 	Name, Addr, Kind, Zone string
+	More                   []string // further addresses, as network:address
 	Cell                   int
 	Draining               bool
 	Started                int64 // Unix milliseconds, or 0
@@ -23,6 +25,7 @@
 	mu     sync.Mutex
 	serial uint32
 	list   []Entry
+	told   map[uint32]time.Time // when an answer first held an event
 }
 
 // NewDirectory starts a directory with a list as its first event.
@@ -31,7 +34,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := &Directory{pc: pc, serial: 1, list: list}
+	d := &Directory{pc: pc, serial: 1, list: list, told: map[uint32]time.Time{}}
 	go func() {
 		for b := make([]byte, 512); ; {
 			n, from, err := pc.ReadFrom(b)
@@ -49,12 +52,20 @@
 // Addr is where it listens.
 func (d *Directory) Addr() string { return d.pc.LocalAddr().String() }
 
-// Set puts another list in place, as the next event.
-func (d *Directory) Set(list []Entry) {
+// Set puts another list in place, as the next event, and returns its number.
+func (d *Directory) Set(list []Entry) uint32 {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.serial++
 	d.list = list
+	return d.serial
+}
+
+// Told is when an answer first held an event or one behind it; zero before.
+func (d *Directory) Told(serial uint32) time.Time {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.told[serial]
 }
 
 // Close ends it.
@@ -64,6 +75,9 @@
 func (d *Directory) answer(query []byte) []byte {
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	if _, ok := d.told[d.serial]; !ok {
+		d.told[d.serial] = time.Now()
+	}
 	b := bytes.Clone(query)
 	b[2] |= 0x80
 	record := func(section int, name string, typ uint16, data []byte) {
@@ -93,8 +107,19 @@
 			continue
 		}
 		record(10, host(e), 1, a.IP.To4())
+		texts := []string{"kind=" + e.Kind, fmt.Sprintf("cell=%d", e.Cell), fmt.Sprintf("started=%d", e.Started)}
+		for _, more := range e.More {
+			switch network, addr, _ := strings.Cut(more, ":"); network {
+			case "unix":
+				texts = append(texts, "unix="+addr)
+			case "tcp6":
+				if ip, err := net.ResolveTCPAddr("tcp6", addr); err == nil {
+					record(10, host(e), 28, ip.IP.To16())
+				}
+			}
+		}
 		var text []byte
-		for _, s := range []string{"kind=" + e.Kind, fmt.Sprintf("cell=%d", e.Cell), fmt.Sprintf("started=%d", e.Started)} {
+		for _, s := range texts {
 			text = append(append(text, byte(len(s))), s...)
 		}
 		record(10, host(e), 16, text)
--- a/internal/fleet/site.go
+++ b/internal/fleet/site.go
@@ -35,7 +35,11 @@
 // Entries lists the workers as ready.
 func (s *Site) Entries() (list []Entry) {
 	for _, w := range s.Workers {
-		list = append(list, Entry{Name: w.Name, Addr: w.Addr, Kind: w.Kind, Zone: w.Zone, Cell: w.Cell})
+		e := Entry{Name: w.Name, Addr: w.Addr, Kind: w.Kind, Zone: w.Zone, Cell: w.Cell}
+		for _, p := range w.ports[1:] {
+			e.More = append(e.More, p.Network+":"+p.Addr)
+		}
+		list = append(list, e)
 	}
 	return list
 }
--- a/internal/fleet/worker.go
+++ b/internal/fleet/worker.go
@@ -14,7 +14,8 @@
 // WorkerConfig says what a stand-in worker is.
 type WorkerConfig struct {
 	Name  string
-	Addr  string // to listen on; port 0 takes a free one
+	Addr  string   // to listen on; port 0 takes a free one
+	More  []string // further addresses, as network:address; tcp6 takes the port of Addr
 	Kind  string
 	Zone  string
 	Cell  int
@@ -42,8 +43,7 @@
 	record func(Event)
 
 	mu     sync.Mutex
-	ln     net.Listener
-	conns  map[net.Conn]bool
+	ports  []*Port
 	copies map[string]*model
 	held   int
 	hangs  bool
@@ -65,59 +65,57 @@
 	if record == nil {
 		record = func(Event) {}
 	}
-	w := &Worker{WorkerConfig: c, record: record, conns: map[net.Conn]bool{}, copies: map[string]*model{}}
-	if err := w.listen(); err != nil {
+	w := &Worker{WorkerConfig: c, record: record, copies: map[string]*model{}}
+	first := &Port{w: w, Network: "tcp4", Addr: c.Addr}
+	if err := first.Set("well"); err != nil {
 		return nil, err
 	}
-	w.Addr = w.ln.Addr().String()
-	return w, nil
-}
-
-func (w *Worker) listen() error {
-	ln, err := net.Listen("tcp", w.Addr)
-	if err != nil {
-		return err
-	}
-	w.mu.Lock()
-	w.ln = ln
-	w.mu.Unlock()
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
+	w.Addr = first.Addr
+	w.ports = []*Port{first}
+	for _, s := range c.More {
+		network, addr, _ := strings.Cut(s, ":")
+		if network == "tcp6" {
+			_, port, _ := net.SplitHostPort(w.Addr)
+			addr = net.JoinHostPort(addr, port)
+		}
+		p := &Port{w: w, Network: network, Addr: addr}
+		if err := p.Set("well"); err != nil {
+			if network == "tcp6" {
+				continue // this machine has none, or the port is taken there: it does with the others
 			}
-			w.mu.Lock()
-			w.conns[c] = true
-			w.mu.Unlock()
-			go w.serve(c)
+			w.Close()
+			return nil, err
 		}
-	}()
-	return nil
+		w.ports = append(w.ports, p)
+	}
+	return w, nil
 }
 
+// Ports are the worker's addresses, the first one first.
+func (w *Worker) Ports() []*Port { return w.ports }
+
 // Kill ends the process that the worker stands for: its connections are reset, new ones refused, and its copies
 // are gone. It does nothing at one that is down.
 func (w *Worker) Kill() {
+	for _, p := range w.ports {
+		p.Set("refuse")
+		p.reset()
+	}
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	if w.ln == nil {
-		return
-	}
-	w.ln.Close()
-	w.ln = nil
-	for c := range w.conns {
-		if t, ok := c.(*net.TCPConn); ok {
-			t.SetLinger(0)
+	w.copies = map[string]*model{} // what was open ends with its connection
+}
+
+// Start has it come back after a Kill, empty, at the same addresses.
+func (w *Worker) Start() error {
+	for _, p := range w.ports {
+		if err := p.Set("well"); err != nil {
+			return err
 		}
-		c.Close()
 	}
-	w.conns, w.copies = map[net.Conn]bool{}, map[string]*model{} // what was open ends with its connection
+	return nil
 }
 
-// Start has it come back after a Kill, empty, at the same address.
-func (w *Worker) Start() error { return w.listen() }
-
 // Hang has it take calls and answer none, or no longer.
 func (w *Worker) Hang(on bool) {
 	w.mu.Lock()
@@ -138,6 +136,7 @@
 // peer is a connection with what is open on it.
 type peer struct {
 	w    *Worker
+	port *Port
 	c    net.Conn
 	out  sync.Mutex
 	open map[string]*running
@@ -148,12 +147,12 @@
 	over           bool // answered, given up, or its connection broke
 }
 
-func (w *Worker) serve(c net.Conn) {
-	p := &peer{w: w, c: c, open: map[string]*running{}}
+func (w *Worker) serve(port *Port, c net.Conn) {
+	p := &peer{w: w, port: port, c: c, open: map[string]*running{}}
 	defer func() {
 		c.Close()
+		port.forget(c)
 		w.mu.Lock()
-		delete(w.conns, c)
 		for _, r := range p.open {
 			p.end(r, "broken")
 		}
@@ -203,6 +202,9 @@
 }
 
 func (p *peer) answer(token, word, fields, body string) {
+	if p.port.Mode() == "mute" {
+		return
+	}
 	p.out.Lock()
 	defer p.out.Unlock()
 	writeArray(p.c, token, word, fields, body)
--- a/internal/path/set.go
+++ b/internal/path/set.go
@@ -1,7 +1,9 @@
 package path
 
 import (
+	"fmt"
 	"slices"
+	"strings"
 	"time"
 )
 
@@ -235,6 +237,25 @@
 	return true // it is no longer listed
 }
 
+// String words the set with what is known of each address.
+func (s *Set) String() string {
+	var parts []string
+	for _, st := range s.list {
+		part := st.Addr.String()
+		if st.down {
+			part += fmt.Sprintf(" down until %v after %d", st.until, st.failures)
+		}
+		if st.trying {
+			part += " on trial"
+		}
+		if st.suspect > 0 {
+			part += fmt.Sprintf(" silent since %v", st.suspect)
+		}
+		parts = append(parts, fmt.Sprintf("%s, well since %v", part, st.well))
+	}
+	return strings.Join(parts, "; ")
+}
+
 // Down is how many addresses count as failed.
 func (s *Set) Down() (n int) {
 	for _, st := range s.list {
--- /dev/null
+++ b/internal/resp/paths_test.go
@@ -0,0 +1,258 @@
+package resp
+
+import (
+	"errors"
+	"slices"
+	"syscall"
+	"testing"
+	"time"
+
+	"crankhold/internal/loop"
+	"crankhold/internal/path"
+	"crankhold/internal/router"
+	"crankhold/policy"
+)
+
+var both = []path.Addr{{Network: path.Unix, Addr: "/run/w.sock"}, {Network: path.TCP4, Addr: "127.0.0.1:1"}}
+
+// newPaths is a pool with a worker of two addresses; dialled keeps where each line goes.
+func newPaths() (p *Pool, s *sink, lines *[]*line, dialled *[]string) {
+	p, s, lines = newPool()
+	dialled = new([]string)
+	p.cfg.Dial = func(_, addr string, _ time.Duration, h loop.Dialled) Line {
+		*dialled = append(*dialled, addr)
+		*lines = append(*lines, &line{h: h})
+		return (*lines)[len(*lines)-1]
+	}
+	p.Set(7, both, policy.Ready)
+	return p, s, lines, dialled
+}
+
+var attempt = router.Attempt{Request: 1}
+
+const anID = "0123456789abcdef"
+
+// A refused dial goes on to the next address at once; a call behind it never left, and is written once.
+func TestRefusedDialFallsBack(t *testing.T) {
+	p, s, lines, dialled := newPaths()
+	p.Run(7, attempt, request(anID), time.Second)
+	(*lines)[0].h.Opened(errors.New("connection refused"))
+	if !slices.Equal(*dialled, []string{"/run/w.sock", "127.0.0.1:1"}) || len(s.ended) != 0 {
+		t.Fatalf("dialled %v, ended %v", *dialled, s.ended)
+	}
+	(*lines)[1].h.Opened(nil)
+	if on := ran(*lines, anID); !slices.Equal(on, []int{1}) {
+		t.Errorf("written over %v", on)
+	}
+	p.Run(7, router.Attempt{Request: 2}, request("00000000000000ff"), time.Second)
+	if len(*dialled) != 2 {
+		t.Errorf("dialled %v with a connection up", *dialled)
+	}
+}
+
+// A dial that hangs has the next address tried beside it; the one that comes second is closed, and nothing is sent
+// over it.
+func TestHangingDialIsRaced(t *testing.T) {
+	p, _, lines, dialled := newPaths()
+	p.Run(7, attempt, request(anID), 2*time.Second)
+	p.Sweep(100 * time.Millisecond)
+	if len(*dialled) != 1 {
+		t.Fatalf("dialled %v too soon", *dialled)
+	}
+	p.Sweep(300 * time.Millisecond)
+	if len(*dialled) != 2 || p.dials != 2 {
+		t.Fatalf("dialled %v, %d under way", *dialled, p.dials)
+	}
+	(*lines)[1].h.Opened(nil)
+	if !(*lines)[0].HasClosed || p.dials != 0 {
+		t.Error("the dial that lost goes on")
+	}
+	(*lines)[0].h.Opened(nil) // it came up all the same
+	if on := ran(*lines, anID); !slices.Equal(on, []int{1}) {
+		t.Errorf("written over %v", on)
+	}
+}
+
+// All addresses failed: the worker is out of reach, which is told once and proves that nothing ran.
+func TestAllAddressesFail(t *testing.T) {
+	p, s, lines, _ := newPaths()
+	p.Run(7, attempt, request(anID), time.Second)
+	(*lines)[0].h.Opened(errors.New("refused"))
+	(*lines)[1].h.Opened(errors.New("no route"))
+	if got := s.ended[attempt]; !slices.Equal(got, []policy.Outcome{policy.Unreachable}) || len(p.workers[7].conns) != 0 || p.dials != 0 {
+		t.Errorf("ended %v, %d connections, %d dials", got, len(p.workers[7].conns), p.dials)
+	}
+}
+
+// What an end proves depends on whether the call left whole: one of which a byte is still here never ran and goes to
+// another connection of the same worker, as the same attempt; one that was handed on whole may have run.
+func TestOnlyWhatNeverLeftIsMoved(t *testing.T) {
+	for name, c := range map[string]struct {
+		left int
+		ends []policy.Outcome
+		on   []int
+	}{
+		"whole":             {0, []policy.Outcome{policy.Reset}, []int{0}},
+		"but its last byte": {1, nil, []int{0, 1}},
+		"not at all":        {100, nil, []int{0, 1}},
+	} {
+		p, s, lines, _ := newPaths()
+		p.Run(7, attempt, request(anID), time.Second)
+		(*lines)[0].h.Opened(nil)
+		(*lines)[0].Left = c.left
+		(*lines)[0].h.Closed(errors.New("reset"))
+		if len(*lines) > 1 {
+			(*lines)[1].h.Opened(nil)
+		}
+		if on := ran(*lines, anID); !slices.Equal(on, c.on) || !slices.Equal(s.ended[attempt], c.ends) {
+			t.Errorf("%s: written over %v, ended %v", name, on, s.ended[attempt])
+		}
+	}
+	// It is not moved for ever, and not to a worker that drains.
+	p, s, lines, _ := newPaths()
+	p.Run(7, attempt, request(anID), time.Second)
+	for i := 0; i < len(*lines) && i < 20; i++ {
+		(*lines)[i].h.Opened(nil)
+		(*lines)[i].Left = 1
+		(*lines)[i].h.Closed(errors.New("reset"))
+	}
+	if got := s.ended[attempt]; !slices.Equal(got, []policy.Outcome{policy.Unreachable}) || p.Count.Moved != mostMoves {
+		t.Errorf("ended %v after %d moves", got, p.Count.Moved)
+	}
+	p, s, lines, _ = newPaths()
+	p.Run(7, attempt, request(anID), time.Second)
+	(*lines)[0].h.Opened(nil)
+	p.Set(7, nil, policy.Draining)
+	(*lines)[0].Left = 1
+	(*lines)[0].h.Closed(errors.New("reset"))
+	if got := s.ended[attempt]; !slices.Equal(got, []policy.Outcome{policy.Unreachable}) || len(*lines) != 1 {
+		t.Errorf("at a draining worker: ended %v on %d connections", got, len(*lines))
+	}
+}
+
+// A drain stops all addresses at once: what waits behind their dials, trials under way.
+func TestDrainStopsAllAddresses(t *testing.T) {
+	p, s, lines, _ := newPaths()
+	p.Run(7, attempt, request(anID), time.Second)
+	p.Hold(7, 5, 1, 9)
+	p.Sweep(300 * time.Millisecond)
+	p.Set(7, nil, policy.Draining)
+	for _, l := range *lines {
+		if !l.HasClosed {
+			l.h.Opened(nil)
+		}
+	}
+	for i, l := range *lines {
+		if l.Wrote.Len() > 0 {
+			t.Errorf("connection %d: wrote %q", i, l.Wrote.String())
+		}
+	}
+	if !slices.Equal(s.ended[attempt], []policy.Outcome{policy.Unreachable}) || !slices.Equal(s.asked[9], []policy.Outcome{policy.Full}) {
+		t.Errorf("ended %v and %v", s.ended, s.asked)
+	}
+}
+
+// An address that fails is tried by a connection that carries nothing but a NOOP, and takes calls again once that is
+// answered; one that accepts and says nothing has not come back.
+func TestTrial(t *testing.T) {
+	p, _, lines, dialled := newPaths()
+	p.Run(7, attempt, request(anID), time.Second)
+	(*lines)[0].h.Opened(errors.New("refused"))
+	(*lines)[1].h.Opened(nil)
+	now := time.Duration(0)
+	until := func(n int) {
+		t.Helper()
+		for len(*lines) < n && now < time.Minute {
+			now += SweepEvery
+			p.Sweep(now)
+		}
+		if len(*lines) < n {
+			t.Fatalf("no trial: dialled %v", *dialled)
+		}
+	}
+	until(3)
+	mute := (*lines)[2]
+	mute.h.Opened(nil)
+	if got := mute.Wrote.String(); got != string(array("NOOP", "t")) {
+		t.Fatalf("wrote %q", got)
+	}
+	until(4) // it said nothing
+	if !mute.HasClosed || p.Count.TrialsFailed != 1 || p.workers[7].paths.Down() != 1 {
+		t.Fatalf("%+v, closed %v", p.Count, mute.HasClosed)
+	}
+	(*lines)[3].h.Opened(nil)
+	(*lines)[3].h.Data([]byte("*4\r\n$1\r\nt\r\n$4\r\nPONG\r\n$1\r\n-\r\n$0\r\n\r\n"))
+	if p.workers[7].paths.Down() != 0 || !(*lines)[3].HasClosed || p.dials != 0 {
+		t.Error("the trial was answered and the address is still down")
+	}
+	// Calls go back to the better address, after a time; the old connection ends once its call has.
+	for end := now + 7*time.Second; now < end; now += SweepEvery {
+		p.Sweep(now)
+		(*lines)[1].h.Data(reply("n1", "PONG", "")) // a sign of life, where it is asked for one
+	}
+	p.Run(7, router.Attempt{Request: 2}, request("00000000000000ff"), time.Second)
+	if (*dialled)[len(*dialled)-1] != "/run/w.sock" || (*lines)[1].HasClosed {
+		t.Errorf("dialled %v, the old connection closed: %v", *dialled, (*lines)[1].HasClosed)
+	}
+	(*lines)[1].h.Data(reply(anID, "HIT", ""))
+	if p.Sweep(now); !(*lines)[1].HasClosed {
+		t.Error("the old connection stays")
+	}
+}
+
+// Out of descriptors nothing is learned about an address.
+func TestNoDescriptorIsNobodysFault(t *testing.T) {
+	p, s, lines, _ := newPaths()
+	p.Run(7, attempt, request(anID), time.Second)
+	(*lines)[0].h.Opened(syscall.EMFILE)
+	(*lines)[1].h.Opened(syscall.EMFILE)
+	if p.workers[7].paths.Down() != 0 || !slices.Equal(s.ended[attempt], []policy.Outcome{policy.Unreachable}) {
+		t.Errorf("%d addresses are down, ended %v", p.workers[7].paths.Down(), s.ended[attempt])
+	}
+}
+
+// A silent connection has calls go to another address; one that is answered there ends it, and no probe is needed.
+func TestSilentAddressIsLeft(t *testing.T) {
+	p, _, lines, dialled := newPaths()
+	p.SetNow(time.Hour)
+	p.Run(7, attempt, request(anID), 2*time.Second)
+	(*lines)[0].h.Opened(nil)
+	p.Sweep(time.Hour + 200*time.Millisecond)
+	p.Run(7, router.Attempt{Request: 2}, request("00000000000000ff"), 2*time.Second)
+	if (*dialled)[len(*dialled)-1] != "127.0.0.1:1" {
+		t.Fatalf("dialled %v", *dialled)
+	}
+	(*lines)[1].h.Opened(nil)
+	p.SetNow(time.Hour + 250*time.Millisecond)
+	(*lines)[1].h.Data(reply("00000000000000ff", "HIT", ""))
+	p.Run(7, router.Attempt{Request: 3}, request("00000000000000fe"), 2*time.Second)
+	p.SetNow(time.Hour + 300*time.Millisecond)
+	(*lines)[1].h.Data(reply("00000000000000fe", "HIT", ""))
+	if p.Sweep(time.Hour + 500*time.Millisecond); !(*lines)[0].HasClosed || p.workers[7].paths.Down() != 1 {
+		t.Errorf("the silent connection is closed: %v, %d addresses down", (*lines)[0].HasClosed, p.workers[7].paths.Down())
+	}
+}
+
+// Two workers swap their addresses in one update: connections and dials go with the addresses, not with the ids.
+func TestSwappedAddresses(t *testing.T) {
+	p, _, lines, dialled := newPaths()
+	one, two := at("127.0.0.1:11"), at("127.0.0.1:12")
+	p.Set(8, one, policy.Ready)
+	p.Set(9, two, policy.Ready)
+	p.Run(8, attempt, request(anID), time.Second)
+	p.Run(9, router.Attempt{Request: 2}, request("00000000000000ff"), time.Second)
+	(*lines)[0].h.Opened(nil) // the other one is still being dialled
+	p.Set(8, two, policy.Ready)
+	p.Set(9, one, policy.Ready)
+	if !(*lines)[1].HasClosed || (*dialled)[2] != "127.0.0.1:11" {
+		t.Fatalf("dialled %v, the old dial closed: %v", *dialled, (*lines)[1].HasClosed)
+	}
+	(*lines)[2].h.Opened(nil)
+	p.Run(8, router.Attempt{Request: 3}, request("00000000000000fe"), time.Second)
+	if (*dialled)[3] != "127.0.0.1:12" {
+		t.Errorf("dialled %v", *dialled)
+	}
+	if on := ran(*lines, "00000000000000ff"); !slices.Equal(on, []int{2}) {
+		t.Errorf("the call that waited is written over %v", on)
+	}
+}
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -75,6 +75,7 @@
 	sink    Sink
 	now     time.Duration
 	workers map[policy.WorkerID]*worker
+	order   []*worker // the same, as they came: equal runs must do equal things
 	calls   map[router.Attempt]*call
 	pings   uint64
 	dials   int // under way
@@ -165,6 +166,7 @@
 		}
 		w = &worker{id: id, paths: path.New(p.cfg.Seed ^ uint64(id))}
 		p.workers[id] = w
+		p.order = append(p.order, w)
 	}
 	w.paths.Prefer(prefer...)
 	if len(addrs) > 0 && !slices.Equal(addrs, w.addrs) {
@@ -181,8 +183,10 @@
 		w.endTrial()
 	}
 	if w.ready = state == policy.Ready; !w.ready {
-		for _, c := range w.conns {
-			c.dropQueue()
+		for _, c := range slices.Clone(w.conns) {
+			if c.dropQueue(); !c.up && len(c.queue) == 0 {
+				c.retire() // nobody waits for this dial
+			}
 		}
 		w.endTrial()
 	}
@@ -193,9 +197,9 @@
 
 // Retain takes every worker that is not present for gone.
 func (p *Pool) Retain(present map[policy.WorkerID]bool) {
-	for id := range p.workers {
-		if !present[id] {
-			p.Set(id, nil, policy.Gone)
+	for _, w := range p.order {
+		if !present[w.id] {
+			p.Set(w.id, nil, policy.Gone)
 		}
 	}
 }
@@ -299,7 +303,7 @@
 // without a word.
 func (p *Pool) Sweep(now time.Duration) {
 	p.SetNow(now)
-	for id, w := range p.workers {
+	for _, w := range p.order {
 		for _, c := range slices.Clone(w.conns) {
 			c.ended.sweep(now)
 			switch {
@@ -316,9 +320,10 @@
 		}
 		p.try(w)
 		if w.gone && len(w.conns) == 0 {
-			delete(p.workers, id)
+			delete(p.workers, w.id)
 		}
 	}
+	p.order = slices.DeleteFunc(p.order, func(w *worker) bool { return p.workers[w.id] != w })
 }
 
 // watch looks after a connection that owes answers. One that is cut off stays open and says nothing,
@@ -402,7 +407,7 @@
 // longest gives way, so that workers that come late get theirs.
 func (p *Pool) room() bool {
 	n, idle := 0, (*conn)(nil)
-	for _, w := range p.workers {
+	for _, w := range p.order {
 		if w.trial != nil {
 			n++
 		}
--- /dev/null
+++ b/internal/service/staff_test.go
@@ -0,0 +1,139 @@
+package service
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	"crankhold/internal/directory"
+	"crankhold/internal/loop"
+	"crankhold/internal/path"
+	"crankhold/internal/platform"
+	"crankhold/internal/resp"
+	"crankhold/internal/route"
+	"crankhold/internal/router"
+	"crankhold/internal/standin"
+	"crankhold/policy"
+)
+
+// post is a staff whose pool dials nowhere.
+type post struct {
+	*staff
+	dialled []string
+	lines   []*standin.Line
+	opened  []loop.Dialled
+}
+
+func newPost(t *testing.T) *post {
+	t.Helper()
+	module, err := policy.New(policy.Config{Peers: 1, MaxAttempts: 3, OverShareWorth: 1, Classes: []policy.Class{{Aim: time.Second, Deadline: 2 * time.Second}}}, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &post{}
+	core := router.New(module, router.Limits{MaxOpen: 10, MaxBytes: 1 << 16})
+	pool := resp.New(resp.Config{Classes: []string{"dim-level"}, DialTimeout: time.Second, KeepAlive: time.Minute, PerConn: 32, MaxConns: 100,
+		Dial: func(network, addr string, _ time.Duration, h loop.Dialled) resp.Line {
+			l := &standin.Line{}
+			p.dialled, p.lines, p.opened = append(p.dialled, network+" "+addr), append(p.lines, l), append(p.opened, h)
+			return l
+		}}, core)
+	core.Use(pool)
+	p.staff = &staff{lp: loop.New(loop.Config{}), core: core, pool: pool, c: &platform.Config{}}
+	return p
+}
+
+func entry(t *testing.T, name string, state policy.WorkerState, addrs ...string) directory.Worker {
+	w := directory.Worker{Name: name, State: state, Weight: 1}
+	for _, s := range addrs {
+		a, err := path.ParseHost(s)
+		if err != nil {
+			t.Fatal(err)
+		}
+		w.Addrs = append(w.Addrs, a)
+	}
+	return w
+}
+
+// call sends one call to a worker and tells over what it goes.
+func (p *post) call(w policy.WorkerID, n int) (dialled string) {
+	before := len(p.dialled)
+	p.pool.Run(w, router.Attempt{Request: policy.RequestID(n)}, &router.Request{ID: strings.Repeat("0", 15) + string(rune('a'+n)), Key: "00000000000000aa"}, time.Second)
+	if len(p.dialled) == before {
+		return ""
+	}
+	return p.dialled[before]
+}
+
+// Two entries with one address are one worker, which drains as soon as one of them does; when one of them is gone, so
+// is that worker, and what is left is another one that inherits nothing.
+func TestAliasesAreOneWorker(t *testing.T) {
+	p := newPost(t)
+	p.follow([]directory.Worker{entry(t, "s-1", policy.Ready, "127.0.0.1:1", "[::1]:1"), entry(t, "s-2", policy.Ready, "127.0.0.1:1", "127.0.0.1:2")})
+	one := workerID("s-1+s-2")
+	if got := p.call(one, 0); got != "tcp6 [::1]:1" {
+		t.Fatalf("the worker of both is dialled over %q", got)
+	}
+	if got := p.call(workerID("s-1"), 1) + p.call(workerID("s-2"), 2); got != "" {
+		t.Errorf("the entries are workers of their own: %s", got)
+	}
+	p.follow([]directory.Worker{entry(t, "s-1", policy.Ready, "127.0.0.1:1", "[::1]:1"), entry(t, "s-2", policy.Draining, "127.0.0.1:1", "127.0.0.1:2")})
+	p.opened[0].Opened(nil)
+	if got := p.call(one, 3); got != "" || p.lines[0].Wrote.Len() > 0 {
+		t.Errorf("a drain told under one name: dialled %q, wrote %q", got, p.lines[0].Wrote.String())
+	}
+	p.follow([]directory.Worker{entry(t, "s-1", policy.Ready, "127.0.0.1:1", "[::1]:1")})
+	if got := p.call(one, 4); got != "" {
+		t.Errorf("the worker of both goes on without one: dialled %q", got)
+	}
+	if got := p.call(workerID("s-1"), 5); got != "tcp6 [::1]:1" {
+		t.Errorf("what is left is dialled over %q", got)
+	}
+}
+
+// An address that moves from an id that is gone to a new one inherits nothing; two ids that swap theirs stay two.
+func TestMovedAndSwappedAddresses(t *testing.T) {
+	p := newPost(t)
+	p.follow([]directory.Worker{entry(t, "s-1", policy.Ready, "127.0.0.1:1")})
+	p.call(workerID("s-1"), 0)
+	p.follow([]directory.Worker{entry(t, "s-9", policy.Ready, "127.0.0.1:1")})
+	if !p.lines[0].HasClosed {
+		t.Error("the dial to the worker that is gone goes on")
+	}
+	if got := p.call(workerID("s-9"), 1); got != "tcp4 127.0.0.1:1" {
+		t.Errorf("the new worker is dialled over %q", got)
+	}
+	p.follow([]directory.Worker{entry(t, "a", policy.Ready, "127.0.0.1:1"), entry(t, "b", policy.Ready, "127.0.0.1:2")})
+	p.follow([]directory.Worker{entry(t, "a", policy.Ready, "127.0.0.1:2"), entry(t, "b", policy.Ready, "127.0.0.1:1")})
+	if got := p.call(workerID("a"), 2) + ", " + p.call(workerID("b"), 3); got != "tcp4 127.0.0.1:2, tcp4 127.0.0.1:1" {
+		t.Errorf("after a swap: %s", got)
+	}
+}
+
+// What the routes file says of a worker counts: addresses, their order, and whose alias it is; pools pick a worker by
+// any of its names.
+func TestRoutesFileNamesAddresses(t *testing.T) {
+	sock, err := path.Parse(path.Unix, "/run/w.sock")
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := newPost(t)
+	p.list = []directory.Worker{entry(t, "s-1", policy.Ready, "127.0.0.1:1"), entry(t, "s-2", policy.Ready, "127.0.0.1:2"), entry(t, "s-3", policy.Ready, "127.0.0.1:3")}
+	table, err := route.Compile(&route.Spec{Workers: []route.Worker{{Name: "s-1", Cell: -1, Addrs: []path.Addr{sock}}, {Name: "s-3", Cell: -1, Same: "s-2", Prefer: []path.Network{path.TCP4}}},
+		Pools:  []route.PoolSpec{{Name: "a", Workers: []route.Selector{{IDs: []string{"s-3"}}}, Cap: route.Unset, LoadOrders: route.Unset, SpillShare: route.Unset, SpillRate: route.Unset}},
+		Routes: []route.RouteSpec{{Name: "r", Pool: "a"}}}, []string{"dim-level"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p.core.SetRoutes(table)
+	p.again()
+	if got := p.call(workerID("s-1"), 0); got != "unix /run/w.sock" {
+		t.Errorf("a socket of the file's: dialled %q", got)
+	}
+	if got := p.call(workerID("s-2+s-3"), 1); got != "tcp4 127.0.0.1:2" {
+		t.Errorf("aliases by the file: dialled %q", got)
+	}
+	if !table.Pools()[0].Has(workerID("s-2+s-3")) || table.Pools()[0].Has(workerID("s-1")) {
+		t.Error("the pool does not pick the worker by its second name")
+	}
+}
