--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -143,6 +143,7 @@
 	spare   []policy.Event
 	actions []policy.Action
 	timers  timers
+	module  map[uint64]*timer // of the module's, by token, the last one set
 	seq     uint64
 	reqs    map[policy.RequestID]*entry
 	ids     map[string]struct{} // what their clients call them
@@ -174,6 +175,7 @@
 	Request
 	attempts []attempt
 	out      int // attempts that have not ended
+	timeUp   *timer
 	mayRun   bool
 	done     bool
 }
@@ -182,6 +184,7 @@
 	worker policy.WorkerID
 	sent   time.Duration
 	ended  bool
+	limit  *timer // nil: none but the request's own
 }
 
 // question is an order or a probe that awaits its answer.
@@ -190,11 +193,12 @@
 	function policy.FunctionID
 	probe    bool
 	sent     time.Duration
+	limit    *timer
 }
 
 // New returns a Core around p.
 func New(p *policy.Policy, limits Limits) *Core {
-	return &Core{policy: p, limits: limits, reqs: map[policy.RequestID]*entry{}, ids: map[string]struct{}{}, asked: map[uint64]*question{}}
+	return &Core{policy: p, limits: limits, module: map[uint64]*timer{}, reqs: map[policy.RequestID]*entry{}, ids: map[string]struct{}{}, asked: map[uint64]*question{}}
 }
 
 // Use sets the Workers; it is called once, before anything else.
@@ -266,7 +270,7 @@
 	c.bytes += len(r.Body)
 	c.events = append(c.events, policy.Arrived{Request: c.last, Class: r.Class, Function: r.Function, Lanes: r.Lanes,
 		MemoryMB: r.MemoryMB, LoadTime: r.LoadTime, Left: max(r.Deadline-c.now, 0), Terms: terms})
-	c.after(r.Deadline, timer{kind: timeUp, request: c.last})
+	e.timeUp = c.after(r.Deadline, timer{kind: timeUp, request: c.last})
 	return c.last
 }
 
@@ -304,6 +308,7 @@
 	}
 	t := &e.attempts[a.Number]
 	t.ended = true
+	c.drop(t.limit)
 	e.out--
 	e.mayRun = e.mayRun || !o.NeverRan()
 	c.Count.Ended[o]++
@@ -321,6 +326,7 @@
 func (c *Core) HoldEnded(tag uint64, o policy.Outcome, count int) {
 	if q := c.asked[tag]; q != nil && !q.probe {
 		delete(c.asked, tag)
+		c.drop(q.limit)
 		c.Count.OrderEnded[o]++
 		c.events = append(c.events, policy.LoadEnded{Worker: q.worker, Function: q.function, Outcome: o,
 			Took: c.now - q.sent, Count: count})
@@ -331,6 +337,7 @@
 func (c *Core) Probed(tag uint64, o policy.Outcome, report []float64) {
 	if q := c.asked[tag]; q != nil && q.probe {
 		delete(c.asked, tag)
+		c.drop(q.limit)
 		c.Count.ProbeEnded[o]++
 		c.events = append(c.events, policy.Probed{Worker: q.worker, Outcome: o, Took: c.now - q.sent, Report: report})
 	}
@@ -345,7 +352,7 @@
 	c.SetNow(now)
 	for {
 		for len(c.timers) > 0 && c.timers[0].due <= c.now {
-			c.fire(heap.Pop(&c.timers).(timer))
+			c.fire(heap.Pop(&c.timers).(*timer))
 		}
 		if len(c.events) == 0 {
 			break
@@ -394,7 +401,10 @@
 	case policy.CloseIdle:
 		c.workers.CloseIdle(a.Worker)
 	case policy.SetTimer:
-		c.after(c.now+max(a.After, 0), timer{kind: moduleTimer, token: a.Token})
+		c.module[a.Token] = c.after(c.now+max(a.After, 0), timer{kind: moduleTimer, token: a.Token})
+	case policy.ClearTimer:
+		c.drop(c.module[a.Token])
+		delete(c.module, a.Token)
 	}
 	// Subscribe, FetchList and Tell ask for what this deployment does not have: the list comes
 	// by itself, and the settings allow no peers. Log lines are of no use to the operators here.
@@ -418,7 +428,7 @@
 		return
 	}
 	if a.Limit > 0 && left == a.Limit { // else the request's own timer does it
-		c.after(c.now+left, timer{kind: attemptUp, request: a.Request, number: n})
+		e.attempts[n].limit = c.after(c.now+left, timer{kind: attemptUp, request: a.Request, number: n})
 	}
 	c.Count.Sent++
 	c.workers.Run(a.Worker, id, &e.Request, left)
@@ -464,6 +474,7 @@
 
 func (c *Core) release(id policy.RequestID, e *entry) {
 	if e.done && e.out == 0 && c.reqs[id] == e {
+		c.drop(e.timeUp)
 		delete(c.reqs, id)
 		delete(c.ids, e.ID)
 	}
@@ -473,13 +484,16 @@
 	c.tag++
 	q.sent = c.now
 	c.asked[c.tag] = &q
-	c.after(c.now+limit, timer{kind: questionUp, token: c.tag})
+	q.limit = c.after(c.now+limit, timer{kind: questionUp, token: c.tag})
 	return c.tag
 }
 
-func (c *Core) fire(t timer) {
+func (c *Core) fire(t *timer) {
 	switch t.kind {
 	case moduleTimer:
+		if c.module[t.token] == t {
+			delete(c.module, t.token)
+		}
 		c.events = append(c.events, policy.TimerFired{Token: t.token})
 	case attemptUp:
 		c.cancel(Attempt{t.request, t.number}, policy.TimedOut)
@@ -532,25 +546,42 @@
 	token   uint64
 	request policy.RequestID
 	number  int
+	at      int // in the heap; -1: it has fired or was dropped
 }
 
-func (c *Core) after(due time.Duration, t timer) {
+func (c *Core) after(due time.Duration, t timer) *timer {
 	c.seq++
 	t.due, t.seq = due, c.seq
-	heap.Push(&c.timers, t)
+	heap.Push(&c.timers, &t)
+	return &t
+}
+
+// drop takes a timer out that no longer matters; nil, or one that has fired, is none.
+func (c *Core) drop(t *timer) {
+	if t != nil && t.at >= 0 {
+		heap.Remove(&c.timers, t.at)
+	}
 }
 
-type timers []timer
+type timers []*timer
 
 func (t timers) Len() int { return len(t) }
 func (t timers) Less(i, j int) bool {
 	return t[i].due < t[j].due || t[i].due == t[j].due && t[i].seq < t[j].seq
 }
-func (t timers) Swap(i, j int) { t[i], t[j] = t[j], t[i] }
-func (t *timers) Push(x any)   { *t = append(*t, x.(timer)) }
+func (t timers) Swap(i, j int) {
+	t[i], t[j] = t[j], t[i]
+	t[i].at, t[j].at = i, j
+}
+func (t *timers) Push(x any) {
+	x.(*timer).at = len(*t)
+	*t = append(*t, x.(*timer))
+}
 func (t *timers) Pop() any {
 	old := *t
 	x := old[len(old)-1]
+	old[len(old)-1] = nil
 	*t = old[:len(old)-1]
+	x.at = -1
 	return x
 }
--- /dev/null
+++ b/internal/router/timers_test.go
@@ -0,0 +1,43 @@
+package router
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"crankhold/policy"
+)
+
+// Guards memory under long waits: a call that has been answered leaves no timer behind, of the core's or of the
+// module's, however long its client would have waited.
+func TestAnsweredCallsLeaveNoTimers(t *testing.T) {
+	c, w := newCore(t, 1)
+	c.SetList(policy.WorkerList{Kind: policy.ListWhole, Workers: []policy.WorkerEntry{{Worker: 1, State: policy.Ready}}})
+	now := time.Hour
+	c.Turn(now)
+	standing := len(c.timers)
+	for i := range 500 {
+		k := &asker{core: c}
+		id := c.Take(now, Request{Asker: k, ID: fmt.Sprint(i), Function: 7, Deadline: now + 10*time.Minute})
+		c.Turn(now)
+		if i%2 == 0 {
+			c.AttemptEnded(w.runs[id][0], policy.Served, policy.WasWarm, nil, nil)
+		} else {
+			c.Leave(now, id)
+		}
+		c.Turn(now)
+		for a := range w.out {
+			c.AttemptEnded(a, policy.Cancelled, policy.NoNote, nil, nil)
+			delete(w.out, a)
+		}
+		for tag := range w.asks {
+			c.Probed(tag, policy.Served, nil)
+			delete(w.asks, tag)
+		}
+		now += ms
+		c.Turn(now)
+	}
+	if len(c.timers) > standing+2 || len(c.module) > standing+2 || len(c.reqs) > 0 {
+		t.Errorf("%d timers, %d of the module's and %d requests stay; %d timers stood at the start", len(c.timers), len(c.module), len(c.reqs), standing)
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -333,6 +333,9 @@
 	Token uint64
 }
 
+// ClearTimer drops a timer that no longer matters; hosts may ignore it.
+type ClearTimer struct{ Token uint64 }
+
 // Subscribe asks for changes of the worker list from now on, or no longer.
 type Subscribe struct{ On bool }
 
@@ -345,16 +348,17 @@
 // Log is a line for the operators.
 type Log struct{ Text string }
 
-func (Send) action()      {}
-func (Cancel) action()    {}
-func (Refuse) action()    {}
-func (Fail) action()      {}
-func (OrderLoad) action() {}
-func (Unload) action()    {}
-func (Probe) action()     {}
-func (Tell) action()      {}
-func (SetTimer) action()  {}
-func (Subscribe) action() {}
-func (FetchList) action() {}
-func (CloseIdle) action() {}
-func (Log) action()       {}
+func (Send) action()       {}
+func (Cancel) action()     {}
+func (Refuse) action()     {}
+func (Fail) action()       {}
+func (OrderLoad) action()  {}
+func (Unload) action()     {}
+func (Probe) action()      {}
+func (Tell) action()       {}
+func (SetTimer) action()   {}
+func (ClearTimer) action() {}
+func (Subscribe) action()  {}
+func (FetchList) action()  {}
+func (CloseIdle) action()  {}
+func (Log) action()        {}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -4,6 +4,7 @@
 package policy
 
 import (
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"math"
@@ -66,9 +67,11 @@
 	failed               int           // loads that failed since one succeeded
 	gate                 time.Duration // no load begins before, while they fail
 
-	arrivals, orders    []time.Duration // within LoadWindow
-	news                []byte          // of instances, for the other dispatchers
-	spare               float64         // calls of ours that pay for messages
+	arrivals, orders times   // within LoadWindow
+	believed         holders // by function
+	scratch
+	news                []byte  // of instances, for the other dispatchers
+	spare               float64 // calls of ours that pay for messages
 	subscribed, started bool
 }
 
@@ -109,6 +112,7 @@
 	aside         time.Duration // set aside until then
 	sends         []*attempt    // within FallFor, while cold
 	copies        map[FunctionID]*instance
+	marked
 }
 
 // instance is what we believe of a function at a worker.
@@ -254,11 +258,10 @@
 			return false
 		}
 		if a.Count > 0 && p.cfg.LoadWindow > 0 {
-			p.orders = p.recent(p.orders, p.cfg.LoadWindow)
-			if float64(len(p.orders)+1) > p.ration() {
+			if float64(p.orders.since(p.now-p.cfg.LoadWindow)+1) > p.ration() {
 				return false
 			}
-			p.orders = append(p.orders, p.now)
+			p.orders.add(p.now, p.cfg.LoadWindow)
 		}
 	case Subscribe: // only where the list does not come by itself
 		if !p.cfg.ListByAsking || p.subscribed {
@@ -279,21 +282,19 @@
 
 // ration is how many load orders the window may hold now.
 func (p *Policy) ration() float64 {
-	p.arrivals = p.recent(p.arrivals, p.cfg.LoadWindow-1)
-	return p.cfg.LoadFree + p.cfg.LoadShare*float64(len(p.arrivals))
+	return p.cfg.LoadFree + p.cfg.LoadShare*float64(p.arrivals.since(p.now-p.cfg.LoadWindow+1))
 }
 
-// recent drops what is older than span.
-func (p *Policy) recent(times []time.Duration, span time.Duration) []time.Duration {
-	return slices.DeleteFunc(times, func(t time.Duration) bool { return t < p.now-span })
+// maySend tells whether the rules let r go to w now.
+func (p *Policy) maySend(r *request, w *worker) bool {
+	return p.mayGo(r) && w.State == Ready && r.pool.Has(w.Worker) && p.repeatable(r, w) &&
+		p.coldRoom(w, r.Class)
 }
 
-// maySend tells whether the rules let r go to w now. No second attempt goes out beside a first, but for the
-// one copy that a route's terms ask for.
-func (p *Policy) maySend(r *request, w *worker) bool {
-	return !r.done && !r.stream && (r.outstand == 0 || r.outstand == 1 && r.copying) && w.State == Ready &&
-		p.now < r.deadline && r.pool.Has(w.Worker) && r.pool.Room() &&
-		p.repeatable(r, w) && p.coldRoom(w, r.Class)
+// mayGo tells whether r may go anywhere now: beside a first attempt only the copy that its terms ask for.
+func (p *Policy) mayGo(r *request) bool {
+	return !r.done && !r.stream && (r.outstand == 0 || r.outstand == 1 && r.copying) && p.now < r.deadline &&
+		r.pool.Room()
 }
 
 // repeatable tells whether its class and attempts let r go to w; w nil: to a worker that may yet be listed.
@@ -377,11 +378,12 @@
 	}
 }
 
-func (w *worker) instance(f FunctionID) *instance {
+func (p *Policy) instance(w *worker, f FunctionID) *instance {
 	i := w.copies[f]
 	if i == nil {
 		i = &instance{w: w}
 		w.copies[f] = i
+		p.believed.add(f, i)
 	}
 	return i
 }
@@ -391,7 +393,7 @@
 		return
 	}
 	if p.cfg.LoadWindow > 0 {
-		p.arrivals = append(p.recent(p.arrivals, p.cfg.LoadWindow), p.now)
+		p.arrivals.add(p.now, p.cfg.LoadWindow)
 	}
 	p.spare = min(p.spare+2, float64(p.cfg.Peers)) // a call pays for two receivers, at any size
 	f := p.funcs[e.Function]
@@ -437,6 +439,9 @@
 }
 
 func (d *drift) now(now time.Duration) float64 {
+	if d.sum == 0 { // at any time
+		return 0
+	}
 	keep := d.keep(now)
 	return d.sum * keep / (d.n*keep + 1)
 }
@@ -457,7 +462,7 @@
 
 // loadLeft is the load time that r must expect at w.
 func (p *Policy) loadLeft(w *worker, r *request) float64 {
-	if i := w.copies[r.fn.id]; i != nil {
+	if i := p.believed.at(w, r.fn.id); i != nil {
 		if i.loading > 0 {
 			return math.Abs(float64(i.loading - p.now)) // one that is late is expected to be as late again
 		}
@@ -475,7 +480,7 @@
 func (p *Policy) predict(w *worker, r *request) float64 {
 	score := p.queueing(w, len(w.out)) + p.run(r) + p.loadLeft(w, r) +
 		w.fails[r.Class].now(p.now)*float64(r.deadline-p.now) // who is not served waits in vain
-	if i := w.copies[r.fn.id]; i != nil && float64(i.inFlight) >= max(r.Lanes, 1, float64(i.lanes)) {
+	if i := p.believed.at(w, r.fn.id); i != nil && float64(i.inFlight) >= max(r.Lanes, 1, float64(i.lanes)) {
 		score += laneLoad * p.loadTime(r.fn) // no lane is free, as far as we know: w may begin a further copy
 	}
 	if len(w.out) > 0 { // censored data: it has been silent for longer than expected of its oldest attempt
@@ -505,13 +510,14 @@
 			slot = s
 		}
 	}
-	key, first := f.id^FunctionID(slot)<<48, (*worker)(nil)
+	key, first, top, rank := f.id^FunctionID(slot)<<48, (*worker)(nil), uint64(0), uint64(0)
 	for _, w := range cands {
-		if first == nil || home(key, w.Worker) > home(key, first.Worker) {
-			first = w
+		h := home(key, w.Worker)
+		if first == nil || h > top {
+			first, top = w, h
 		}
-		if p.cold(w, r) && (at == nil || home(key, w.Worker) > home(key, at.Worker)) {
-			at = w
+		if (at == nil || h > rank) && p.cold(w, r) {
+			at, rank = w, h
 		}
 	}
 	chance = min(likely, 0.2*float64(p.cfg.Peers+1)) // of a lone dispatcher only what it lost sight of
@@ -523,18 +529,21 @@
 }
 
 // candidates are the workers that may take r, without those set aside and those that turned it away.
-func (p *Policy) candidates(r *request) (good []*worker) {
+func (p *Policy) candidates(r *request) []*worker {
+	p.cands = p.cands[:0]
+	anywhere, keyed := p.mayGo(r) && p.repeatable(r, nil), r.ran != nil && p.classes[r.Class].Repeat == Keyed
 	for _, w := range p.fleet {
-		if !p.looksBad(w) && !slices.Contains(r.shunned, w) && p.maySend(r, w) {
-			good = append(good, w)
+		if anywhere && w.State == Ready && !p.looksBad(w) && r.pool.Has(w.Worker) &&
+			!slices.Contains(r.shunned, w) && (!keyed || p.repeatable(r, w)) && p.coldRoom(w, r.Class) {
+			p.cands = append(p.cands, w)
 		}
 	}
-	return good
+	return p.cands
 }
 
 // cold tells whether r would begin a load at w.
 func (p *Policy) cold(w *worker, r *request) bool {
-	i := w.copies[r.fn.id]
+	i := p.believed.at(w, r.fn.id)
 	return (i == nil || i.loading == 0) && p.loadLeft(w, r) > 0
 }
 
@@ -586,14 +595,19 @@
 		return
 	}
 	best := math.Inf(1)
-	scores := make([]float64, len(cands))
-	for i, w := range cands {
-		scores[i] = p.predict(w, r)
+	scores, run, load := p.scores[:0], p.run(r), p.loadTime(r.fn)
+	for _, w := range cands {
+		// Where no copy stands a call takes its run and a load at the least: most need no closer look.
+		score := run + load
+		if w == at || p.believed.at(w, r.fn.id) != nil || score <= best+float64(p.cfg.Tick) {
+			score = p.predict(w, r)
+		}
 		if w == at {
-			scores[i] -= discount * p.loadTime(r.fn)
+			score -= discount * load
 		}
-		best = min(best, scores[i])
+		scores, best = append(scores, score), min(best, score)
 	}
+	p.scores = scores
 	ties, pick := 0, 0
 	for i := range cands {
 		if scores[i] <= best+float64(p.cfg.Tick) { // closer than the clock tells is a tie
@@ -620,15 +634,14 @@
 }
 
 // mayYet tells whether waiting may help r, which no worker may take now: one that is set aside or just
-// started may take it later, or none is listed. What else would be held until its deadline is ended.
+// started may take it later, or none is listed. What else would be held until its deadline is
+// ended; a pool's cap is no queue.
 func (p *Policy) mayYet(r *request) bool {
-	if !r.pool.Room() {
-		return false // a cap is no queue
-	}
-	return p.ready == 0 && p.repeatable(r, nil) || slices.ContainsFunc(p.fleet, func(w *worker) bool {
-		return w.State == Ready && r.pool.Has(w.Worker) && !slices.Contains(r.shunned, w) &&
-			p.repeatable(r, w)
-	})
+	return r.pool.Room() && (p.ready == 0 && p.repeatable(r, nil) ||
+		slices.ContainsFunc(p.fleet, func(w *worker) bool {
+			return w.State == Ready && r.pool.Has(w.Worker) && !slices.Contains(r.shunned, w) &&
+				p.repeatable(r, w)
+		}))
 }
 
 // shed answers overload: a standing delay that even fast answers show serves nobody, so a growing part of
@@ -637,10 +650,7 @@
 // The wait is the time in which the queue drains to where r is let in.
 func (p *Policy) shed(r *request, w *worker, score float64) (shed bool, wait float64) {
 	c := &p.classes[r.Class]
-	own := float64(c.Aim)
-	if r.Terms.Aim > 0 {
-		own = min(own, float64(r.Terms.Aim))
-	}
+	own := float64(min(c.Aim, cmp.Or(r.Terms.Aim, c.Aim)))
 	start, aim := 0.5, own
 	for i := range p.classes {
 		if o := &p.classes[i]; p.density(o) > 1.5*p.density(c) {
@@ -675,7 +685,7 @@
 }
 
 func (p *Policy) send(r *request, w *worker, expected time.Duration, likely bool) {
-	load, i := p.loadLeft(w, r), w.instance(r.fn.id)
+	load, i := p.loadLeft(w, r), p.instance(w, r.fn.id)
 	if !p.emit(Send{Request: r.Request, Worker: w.Worker, Limit: r.Terms.Limit}) {
 		return
 	}
@@ -713,8 +723,7 @@
 	}
 	first := r.attempts[slices.IndexFunc(r.attempts, func(a *attempt) bool { return !a.ended })].w
 	r.copying = true
-	var at *worker
-	best := float64(r.deadline - p.now)
+	at, best := (*worker)(nil), float64(r.deadline-p.now)
 	for _, w := range p.candidates(r) {
 		if score := p.predict(w, r); w != first && !p.cold(w, r) && score < best {
 			at, best = w, score
@@ -733,7 +742,7 @@
 		return
 	}
 	a := r.attempts[e.Attempt]
-	w, i := a.w, a.w.instance(r.fn.id)
+	w, i := a.w, p.instance(a.w, r.fn.id)
 	a.ended, r.outstand, i.inFlight = true, r.outstand-1, i.inFlight-1
 	a.pool.Ended()
 	w.out = slices.DeleteFunc(w.out, func(o *attempt) bool { return o == a })
@@ -795,7 +804,7 @@
 func (p *Policy) learn(a *attempt, e AttemptEnded) {
 	r, w, f := a.req, a.w, a.req.fn
 	p.reported(w, e.Report)
-	i, c, took, base := w.instance(f.id), &p.classes[r.Class], float64(e.Took), p.run(r)
+	i, c, took, base := p.instance(w, f.id), &p.classes[r.Class], float64(e.Took), p.run(r)
 	queue, at := p.queueing(w, a.inFlight), max(0, w.delay.now(p.now))
 	loaded := e.Note == BeganLoad || e.Note == AwaitedOne
 	if !p.cfg.WarmNotes && !p.cfg.MissWhenCold { // not told: a load shows in the time
@@ -874,7 +883,7 @@
 func (p *Policy) told(news []byte) {
 	for ; len(news) >= newsBytes; news = news[newsBytes:] {
 		if w := p.workers[WorkerID(binary.BigEndian.Uint64(news))]; w != nil && w.State == Ready {
-			i := w.instance(FunctionID(binary.BigEndian.Uint64(news[8:])))
+			i := p.instance(w, FunctionID(binary.BigEndian.Uint64(news[8:])))
 			i.warmUntil = max(i.warmUntil, p.now+p.cfg.KeepAlive*9/10)
 		}
 	}
@@ -998,6 +1007,7 @@
 	p.fleet = slices.DeleteFunc(p.fleet, func(w *worker) bool {
 		gone := w.State == Gone && len(w.out) == 0 && w.orders == 0
 		if gone {
+			p.believed.forget(w)
 			delete(p.workers, w.Worker)
 		}
 		return gone
@@ -1005,7 +1015,7 @@
 	for _, w := range p.fleet {
 		for id, i := range w.copies {
 			if i.inFlight == 0 && !i.ordered && p.now > i.warmUntil && p.now > i.loading {
-				delete(w.copies, id)
+				p.believed.drop(id, w)
 			}
 		}
 	}
@@ -1034,6 +1044,7 @@
 		return
 	}
 	r.done = true
+	p.emit(ClearTimer{Token: doneToken + uint64(r.Request)})
 	for _, a := range r.attempts {
 		if !a.ended && !a.called {
 			a.called = p.emit(Cancel{Request: r.Request, Attempt: a.number})
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -125,7 +125,7 @@
 	}
 	b := newBed(t, config(), 2)
 	for _, w := range []WorkerID{1, 2} { // both hold a copy; queueing at 2 looks a little worse
-		b.p.workers[w].instance(7).warmUntil = b.now + 10*time.Second
+		b.p.instance(b.p.workers[w], 7).warmUntil = b.now + 10*time.Second
 		b.p.workers[w].delay.see(b.now, float64(w-1)*float64(20*ms))
 	}
 	one, at1 := send(b)
@@ -135,7 +135,7 @@
 	}
 	served(b, one, at1, WasWarm)
 	served(b, two, at2, WasWarm)
-	b.p.workers[1].instance(7).lanes = 2 // two were served at a time
+	b.p.instance(b.p.workers[1], 7).lanes = 2 // two were served at a time
 	b.p.workers[2].delay.see(b.now, float64(100*ms))
 	if _, at1 = send(b); at1 != 1 {
 		t.Fatalf("sent to %d", at1)
@@ -145,7 +145,7 @@
 		t.Fatalf("sent to %d though a second lane was seen", at2)
 	}
 	b.do(AttemptEnded{Request: id, Worker: 1, Outcome: Missed})
-	if n := b.p.workers[1].instance(7).lanes; n != 0 {
+	if n := b.p.instance(b.p.workers[1], 7).lanes; n != 0 {
 		t.Errorf("%d lanes are believed in after a miss", n)
 	}
 }
@@ -461,7 +461,7 @@
 	b.serve(7, 900*ms, WasWarm)
 	b.serve(7, 900*ms, WasWarm)
 	other := b.p.workers[w%6+1]
-	other.instance(7).warmUntil = b.now + time.Minute // a second copy stands
+	b.p.instance(other, 7).warmUntil = b.now + time.Minute // a second copy stands
 	if got := b.serve(7, 100*ms, WasWarm); got != other.Worker {
 		t.Errorf("sent to %d again after two late answers", got)
 	}
@@ -649,7 +649,7 @@
 	cfg.Peers = 50
 	b := newBed(t, cfg, 2)
 	sent := func(w *worker, f FunctionID) (n int) {
-		w.instance(f).warmUntil = b.now + time.Minute
+		b.p.instance(w, f).warmUntil = b.now + time.Minute
 		for range 100 {
 			id, acts := b.arrive(0, f)
 			if has[Send](acts) {
@@ -789,7 +789,7 @@
 		t.Errorf("the other class left for %d", got)
 	}
 	b.now += 30 * time.Second
-	b.p.workers[w].instance(7).warmUntil = b.now + time.Minute
+	b.p.instance(b.p.workers[w], 7).warmUntil = b.now + time.Minute
 	for o, x := range b.p.workers {
 		if o != w {
 			delete(x.copies, 7)
--- a/policy/stream_test.go
+++ b/policy/stream_test.go
@@ -117,6 +117,9 @@
 		}
 		fmt.Fprintf(h, "%d", now)
 		for _, a := range p.Handle(now, d.ev, nil) {
+			if _, ok := a.(ClearTimer); ok {
+				continue // it changes no choice, and is newer than the records
+			}
 			fmt.Fprintf(h, "%T%+v", a, a)
 			switch a := a.(type) {
 			case Send:
--- a/policy/terms_test.go
+++ b/policy/terms_test.go
@@ -160,7 +160,7 @@
 		cfg.SecondAttempts = allowed
 		b := newBed(t, cfg, 4)
 		for w := range WorkerID(4) {
-			b.p.workers[w+1].instance(7).warmUntil = b.now + time.Hour
+			b.p.instance(b.p.workers[w+1], 7).warmUntil = b.now + time.Hour
 		}
 		terms := open(newPool(100, 1, 2, 3, 4))
 		terms.SecondAfter = 100 * ms
