--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -309,8 +309,8 @@
 			switch {
 			case !c.up:
 				c.dial() // another address, where it is time
-			case !c.closing && w.paths.Better(now, c.addr):
-				c.retire()
+			case !c.closing && (c.ended.full() || w.paths.Better(now, c.addr)):
+				c.retire() // one that can remember no more ids takes no calls, and would keep its place for seconds
 			case c.closing && !c.idle():
 			case c.idle() && (c.closing || now-c.used > time.Duration(idleMargin*float64(p.cfg.KeepAlive))):
 				c.close()
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -471,3 +471,42 @@
 		t.Errorf("%d workers and %d calls stay", len(p.workers), len(p.calls))
 	}
 }
+
+// Guards a busy worker: a connection that has as many ids to remember as it may gives its place to a fresh one, so
+// that thousands of calls a second go on over a bounded number of connections.
+func TestFullConnectionsGiveTheirPlace(t *testing.T) {
+	p, s, lines := newPool()
+	p.cfg.PerConn = 32
+	now, n := time.Hour, 0
+	for range 600 { // 30 s at 2,000 calls/s
+		for range 100 {
+			n++
+			id := fmt.Sprintf("%016x", n)
+			a := router.Attempt{Request: policy.RequestID(n)}
+			p.Run(1, a, request(id), time.Second)
+			for _, l := range *lines {
+				if l.h != nil && l.Wrote.Len() == 0 && !l.HasClosed {
+					l.h.Opened(nil)
+				}
+			}
+			for _, l := range *lines {
+				if l.h != nil && !l.HasClosed && strings.Contains(l.Wrote.String(), id) {
+					l.h.Data(reply(id, "HIT", ""))
+					l.Wrote.Reset()
+					l.Wrote.WriteString("-")
+				}
+			}
+			if len(s.ended[a]) != 1 || s.ended[a][0] != policy.Served {
+				t.Fatalf("call %d at %v ended %v on %d connections", n, now-time.Hour, s.ended[a], len(p.workers[1].conns))
+			}
+		}
+		now += SweepEvery
+		p.Sweep(now)
+		for _, l := range *lines {
+			if l.HasClosed && l.h != nil {
+				l.h.Closed(nil)
+				l.h = nil
+			}
+		}
+	}
+}
