End the router and the connections of lab load, which called its own end for ever

Cause: both functions that return how to end a load held it in a named result, which by the time of the call was the returned function itself; every lab load ended with an overflow of the stack, behind its figures.

Change: the end that is to be called is kept under a name of its own; a test connects and ends.

--- a/internal/lab/load.go
+++ b/internal/lab/load.go
@@ -251,12 +251,13 @@
 }
 
 // connect joins the tool to a router, or starts one.
-func (l *Load) connect() (stop func(), err error) {
+func (l *Load) connect() (func(), error) {
 	if l.Hook != "" {
 		return func() {}, l.connectHook()
 	}
-	stop = func() {}
+	stop := func() {}
 	if l.Addr == "" {
+		var err error
 		if l.Addr, stop, err = l.start(); err != nil {
 			return nil, err
 		}
@@ -326,9 +327,9 @@
 		stop()
 		return "", nil, err
 	}
-	p := l.process
+	p, clean := l.process, stop // stop is about to be this function itself
 	l.Conns = max(l.Conns, 64)
-	return addr, func() { p.stop(); stop() }, nil
+	return addr, func() { p.stop(); clean() }, nil
 }
 
 // connectHook sends signed webhooks (Standard Webhooks: HMAC-SHA256 over id, timestamp and body).
--- a/internal/lab/load_test.go
+++ b/internal/lab/load_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"strings"
 	"testing"
 	"time"
@@ -29,3 +30,28 @@
 		t.Errorf("two hours: %v", err)
 	}
 }
+
+// Guards the end of a load: what was connected is closed, once.
+func TestLoadEnds(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l := Load{Addr: ln.Addr().String(), Conns: 3}
+	stop, err := l.connect()
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop()
+	for range 3 {
+		c, err := ln.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(10 * time.Second))
+		if _, err := c.Read(make([]byte, 1)); err != io.EOF {
+			t.Errorf("a connection stays: %v", err)
+		}
+	}
+}
