Bind the directory's socket before it connects: every router died of a nil address

Ruled out: the link mode (the log runs on to the first dial), the directory itself (it answers once bound), TCP. Fault: loop.go, Dial, which handed net's connection to nbio unlooked at. Change: datagram sockets are bound to an address of the system's choice before they connect; a socket without an address is an error that the dial reports, not a panic. The test holds both.

--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -11,6 +11,7 @@
 	"log/slog"
 	"net"
 	"net/netip"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -443,11 +444,10 @@
 func (l *Loop) Dial(network, addr string, timeout time.Duration, h Dialled) *Conn {
 	c := &Conn{loop: l, h: h}
 	go func() {
-		d := net.Dialer{Timeout: timeout}
 		var nc *nbio.Conn
-		std, err := d.Dial(network, addr)
+		std, err := dialer(network, timeout).Dial(network, addr)
 		if err == nil {
-			if nc, err = nbio.NBConn(std); err == nil {
+			if nc, err = adopt(std); err == nil {
 				nc.SetSession(c)
 				_, err = l.engine.AddConn(nc)
 			} else {
@@ -459,6 +459,27 @@
 	return c
 }
 
+// dialer opens sockets of a network. Those for datagrams are bound before they are connected, to what the system
+// would choose too: not every system tells the address of one that was only connected, and nbio needs it.
+func dialer(network string, timeout time.Duration) *net.Dialer {
+	d := &net.Dialer{Timeout: timeout}
+	if strings.HasPrefix(network, "udp") {
+		d.LocalAddr = &net.UDPAddr{}
+	}
+	return d
+}
+
+// errNameless is of a socket whose own address the system does not tell.
+var errNameless = errors.New("socket has no local address")
+
+// adopt makes a socket nbio's. NBConn panics at one for datagrams that has no local address.
+func adopt(std net.Conn) (*nbio.Conn, error) {
+	if std.LocalAddr() == nil {
+		return nil, errNameless
+	}
+	return nbio.NBConn(std)
+}
+
 // Peer is the address at the other end.
 func (c *Conn) Peer() netip.AddrPort {
 	if a, ok := c.nc.RemoteAddr().(*net.TCPAddr); ok {
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -318,3 +318,40 @@
 		}
 	}
 }
+
+// nameless is a connected socket of which the system does not tell the own address, as getsockname did for
+// datagram sockets on the operators' full fleet, where every router died of it before it served.
+type nameless struct{ net.Conn }
+
+func (nameless) LocalAddr() net.Addr { return nil }
+
+// Guards the start: sockets for datagrams are bound, so that their address is known, and one that is unknown
+// all the same is an error, not a panic that ends the program.
+func TestDatagramSocketsHaveAnAddress(t *testing.T) {
+	for _, network := range []string{"udp", "udp4", "udp6"} {
+		if a, ok := dialer(network, time.Second).LocalAddr.(*net.UDPAddr); !ok || a.Port != 0 {
+			t.Errorf("%s is not bound to an address of the system's choice", network)
+		}
+	}
+	if dialer("tcp4", time.Second).LocalAddr != nil {
+		t.Error("a stream is bound without need")
+	}
+	peer, err := net.ListenPacket("udp4", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	std, err := dialer("udp", time.Second).Dial("udp", peer.LocalAddr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer std.Close()
+	if _, err := adopt(nameless{std}); !errors.Is(err, errNameless) {
+		t.Errorf("a socket without an address: %v", err)
+	}
+	nc, err := adopt(std)
+	if err != nil {
+		t.Fatal(err)
+	}
+	nc.Close()
+}
