Count no call that its client took back in the ration of orders to load

No router was over the ration by its own count of taken calls (the largest was exactly at it): ruled out are dials that delay orders, and the window's edges. Fault: policy.go, arrived, which counts a call that nobody wants a moment later; router.go, which handed the module 200 calls that were over already.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -141,6 +141,7 @@
 	now     time.Duration
 	events  []policy.Event
 	spare   []policy.Event
+	turns   int // batches of events that the module was handed
 	actions []policy.Action
 	timers  timers
 	module  map[uint64]*timer // of the module's, by token, the last one set
@@ -175,6 +176,8 @@
 	Request
 	attempts []attempt
 	out      int // attempts that have not ended
+	turn     int // in which its arrival is handed to the module
+	event    int // and where it stands among that turn's events
 	timeUp   *timer
 	mayRun   bool
 	done     bool
@@ -263,7 +266,7 @@
 	for c.last++; c.last == 0 || c.reqs[c.last] != nil; c.last++ {
 	}
 	r.Taken = c.now
-	e := &entry{Request: r}
+	e := &entry{Request: r, turn: c.turns, event: len(c.events)}
 	c.reqs[c.last] = e
 	c.ids[r.ID] = struct{}{}
 	c.open++
@@ -296,6 +299,12 @@
 	if e := c.reqs[id]; e != nil && !e.done {
 		c.Count.Left[e.Front]++
 		c.close(id, e, "abandoned")
+		if e.turn == c.turns {
+			// The module has not heard of it and never will: nothing was asked of it, so nothing, the ration of
+			// orders among it, may grow by a client that sends and takes back.
+			c.events[e.event] = nil
+			return
+		}
 		c.events = append(c.events, policy.Abandoned{Request: id})
 	}
 }
@@ -358,9 +367,12 @@
 			break
 		}
 		events := c.events
+		c.turns++
 		c.events, c.actions = c.spare[:0], c.actions[:0]
 		for i, ev := range events {
-			c.actions = c.policy.Handle(c.now, ev, c.actions)
+			if ev != nil {
+				c.actions = c.policy.Handle(c.now, ev, c.actions)
+			}
 			events[i] = nil
 		}
 		c.spare = events
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -308,6 +308,35 @@
 	}
 }
 
+// Guards the ration of orders: a client that sends hundreds of calls and takes each back in the same breath asks
+// for nothing, so the module hears of none of them, and such a flood costs no look at the workers.
+func TestACallTakenBackAtOnceNeverReachesTheModule(t *testing.T) {
+	c, w := newCore(t, 1)
+	now := time.Hour
+	c.SetList(policy.WorkerList{Kind: policy.ListWhole, Workers: []policy.WorkerEntry{{Worker: 1, State: policy.Ready}}})
+	c.Turn(now)
+	call := func(id int) Request {
+		return Request{Asker: &asker{core: c}, ID: fmt.Sprintf("%016x", id), Key: "00000000000000aa", Function: 0xaa, Deadline: now + time.Second}
+	}
+	stay := call(1)
+	c.Take(now, stay)
+	for i := range 200 {
+		c.Leave(now, c.Take(now, call(2+i)))
+	}
+	c.Turn(now)
+	if c.Count.Sent != 1 || len(w.runs) != 1 || c.Open() != 1 || c.Count.Left[Thrift] != 200 {
+		t.Fatalf("sent %d, open %d, left %d", c.Count.Sent, c.Open(), c.Count.Left[Thrift])
+	}
+	now += ms // one that leaves later is called off as before
+	late := c.Take(now, call(300))
+	c.Turn(now)
+	c.Leave(now, late)
+	c.Turn(now)
+	if c.Count.Sent != 2 || len(w.out) != 1 || c.Open() != 1 {
+		t.Fatalf("sent %d, out %d, open %d", c.Count.Sent, len(w.out), c.Open())
+	}
+}
+
 func TestParseKey(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.Uint64().Draw(t, "n")
--- a/policy/index.go
+++ b/policy/index.go
@@ -32,6 +32,13 @@
 	return len(t.list) - t.head
 }
 
+// drop takes out one entry of a time, where there is one.
+func (t *times) drop(at time.Duration) {
+	if i, ok := slices.BinarySearch(t.list[t.head:], at); ok {
+		t.list = slices.Delete(t.list, t.head+i, t.head+i+1)
+	}
+}
+
 // holders knows by function which workers we believe something of. Those of the function that was asked for last are
 // marked, so that a look at all workers for one call takes no look-up for each.
 type holders struct {
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -218,7 +218,10 @@
 			r.stream = true
 		}
 	case Abandoned:
-		p.close(p.reqs[e.Request])
+		if r := p.reqs[e.Request]; r != nil && !r.done { // who asks and takes it back must not widen the ration
+			p.arrivals.drop(r.deadline - r.Left)
+			p.close(r)
+		}
 	case TimerFired:
 		if e.Token == beatToken {
 			p.beat()
@@ -1040,9 +1043,6 @@
 
 // close marks the request as over; attempts still out are called off.
 func (p *Policy) close(r *request) {
-	if r == nil {
-		return
-	}
 	r.done = true
 	p.emit(ClearTimer{Token: doneToken + uint64(r.Request)})
 	for _, a := range r.attempts {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -328,6 +328,36 @@
 }
 
 // In overload work turned away as full must not count as what a worker can take.
+// Guards the ration against calls that their clients take back: on a full fleet one bad client's 200 calls had a
+// router that took 70 give 30 orders, where 25 were allowed.
+func TestCallsTakenBackDoNotWidenTheRation(t *testing.T) {
+	cfg := config()
+	cfg.MissWhenCold, cfg.LoadWindow, cfg.LoadFree, cfg.LoadShare = true, 10*time.Second, 4, 0.3
+	b := newBed(t, cfg, 4)
+	for range 200 {
+		id, _ := b.arrive(0, 9)
+		b.do(Abandoned{Request: id})
+	}
+	if got := b.p.ration(); got != 4 {
+		t.Fatalf("200 calls that were taken back make a ration of %v, 4 wanted", got)
+	}
+	kept, _ := b.arrive(0, 9)
+	b.now += time.Second
+	for range 3 { // at one time: one of them goes, and no other
+		b.arrive(0, 9)
+	}
+	id, _ := b.arrive(0, 9)
+	b.do(Abandoned{Request: id})
+	if got := b.p.ration(); got != 4+0.3*4 {
+		t.Fatalf("four calls that stay make a ration of %v", got)
+	}
+	b.do(Abandoned{Request: kept})
+	b.do(Abandoned{Request: kept}) // twice counts once
+	if got := b.p.ration(); got != 4+0.3*3 {
+		t.Fatalf("three calls that stay make a ration of %v", got)
+	}
+}
+
 func TestColdWorkerGetsNoMoreThanItsBudget(t *testing.T) {
 	b := newBed(t, config(), 5)
 	for range 200 { // 10 a second over 5 workers
