Ask the directory three times in the time an event leaves, spread by the router's seed

An event counts as told 1.5 s after it happened and sends may go on for the grace of 1 s, so a query each 0.75 s hears of it three times before; one without an answer, or with an old one, is sent again after 250 ms, then ever more slowly. The first comes within 250 ms by the seed.

--- a/internal/directory/directory.go
+++ b/internal/directory/directory.go
@@ -20,9 +20,12 @@
 
 const (
 	serviceName = "_back._tcp.pool.lan"
-	askEvery    = 200 * time.Millisecond // an event counts as told 1.5 s after it happened, heard or not
-	redialAfter = 200 * time.Millisecond // a lost socket must not add to a silence of the directory's
-	lateQueries = 32                     // an answer to one of so many last queries is taken, once
+	toldAfter   = 1500 * time.Millisecond // an event counts as told so long after it happened, heard or not
+	chances     = 3                       // to hear of an event before nothing new may go to its worker
+	wayBack     = 80 * time.Millisecond   // a query and its answer take less
+	askAgain    = 250 * time.Millisecond  // a query without an answer; twice as long each further time
+	redialAfter = 200 * time.Millisecond  // a lost socket must not add to a silence of the directory's
+	lateQueries = 32                      // an answer to one of so many last queries is taken, once
 )
 
 // Worker is one worker as the directory knows it.
@@ -74,8 +77,12 @@
 	changed func([]Worker)
 	addr    string
 	sock    *socket
+	every   time.Duration // between queries that are answered, at most
+	rng     *rand.Rand
 	next    time.Duration
 	now     time.Duration
+	asked   time.Duration // the last query
+	missed  int           // queries since one was answered
 	serial  uint32
 	workers map[string]Worker
 	silent  bool // what goes wrong has been logged since the last good answer
@@ -95,9 +102,18 @@
 }
 
 // New returns a Client for the directory at addr; changed is called with every list that is newer than
-// the one before.
-func New(addr string, dial func(addr string, h loop.Dialled) Line, changed func([]Worker)) *Client {
-	return &Client{addr: addr, dial: dial, changed: changed, workers: map[string]Worker{}}
+// the one before. Grace is how long after an event was told something new may still go to its worker. Each query is
+// work for a directory that all routers share, so there are no more than it takes: an event has its chances to be
+// heard of before that, though answers get lost or come old. Seed spreads the queries of many routers that start,
+// or are sent to another directory, at one time.
+func New(addr string, seed uint64, grace time.Duration, dial func(addr string, h loop.Dialled) Line, changed func([]Worker)) *Client {
+	return &Client{addr: addr, dial: dial, changed: changed, workers: map[string]Worker{},
+		every: max((toldAfter+grace)/chances-wayBack, askAgain), rng: rand.New(rand.NewPCG(seed, 0x6469726563))}
+}
+
+// spread returns a time up to most, and a fifth less at the least.
+func (c *Client) spread(most time.Duration) time.Duration {
+	return most - time.Duration(c.rng.Int64N(int64(most/5)))
 }
 
 // Move goes over to a directory at another address, which is asked at once. The list and its number
@@ -172,7 +188,10 @@
 		s.line = c.dial(c.addr, s)
 		return c.next
 	}
-	if c.next = now + askEvery; c.sock.up {
+	c.next = now + c.spread(min(askAgain<<min(c.missed, 8), c.every))
+	if c.sock.up {
+		c.missed++
+		c.asked = now
 		c.sock.ask()
 	}
 	return c.next
@@ -193,8 +212,8 @@
 func (s *socket) Opened(err error) {
 	if s.up = err == nil; !s.up {
 		s.Closed(err)
-	} else if s.client.sock == s {
-		s.client.next = s.client.now
+	} else if c := s.client; c.sock == s {
+		c.next = c.now + time.Duration(c.rng.Int64N(int64(askAgain)))
 	}
 }
 
@@ -217,7 +236,7 @@
 }
 
 // Data takes in an answer. Lists are whole, so a lost or overtaken answer does no harm: one that is
-// older than what we hold is dropped. A directory slower than askEvery answers a query that is no
+// older than what we hold is dropped. A directory slower than askAgain answers a query that is no
 // longer the last; taking only the last one's answer would then take none.
 func (s *socket) Data(b []byte) {
 	c := s.client
@@ -240,6 +259,10 @@
 	}
 	c.silent = false
 	c.Heard++
+	if r.serial == c.serial { // an older one tells nothing of what holds now
+		c.missed = 0
+		c.next = max(c.now, c.asked+c.spread(c.every))
+	}
 }
 
 // take follows a list if it is newer than the one held, and whole.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -78,7 +78,7 @@
 		}}, core)
 	core.Use(pool)
 	staff := &staff{lp: lp, core: core, pool: pool, c: c}
-	names := directory.New(c.Names,
+	names := directory.New(c.Names, c.Random, c.Module.DrainGrace,
 		func(addr string, h loop.Dialled) directory.Line { return lp.Dial("udp", addr, time.Second, h) },
 		staff.follow)
 	addresses, err := readAddresses(opts.Addresses)
