Ask a connection for a sign of life only after a silence longer than is usual

Cause: pool.go, watch, sends a NOOP over a connection with calls out on which no whole answer came for 150 ms, and counts it nowhere. Where many calls share a connection that is rare; a router of a large fleet has hardly more than one call on each, and a call takes longer than that three times in ten: 1,776 signs of life for 6,000 calls in the test. Change: the wait is the mean silence that ended in an answer plus four times its deviation, as RFC 6298 has it, and 150 ms at the least: dense connections are asked as soon as before.

--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -21,9 +21,9 @@
 	maxConns   = 10  // to one worker
 	idleMargin = 0.8 // part of the told keep-alive after which we close an idle connection
 
-	// A connection with calls out on which no whole answer came for quietAfter is asked for a sign of
-	// life and takes nothing new meanwhile. It ends once it has given none for deadAfter though the
-	// worker has answered, on another one, what was sent after that.
+	// A connection with calls out on which no whole answer came for quietAfter, and for longer than is usual,
+	// is asked for a sign of life and takes nothing new meanwhile. It ends once it has given none for
+	// deadAfter though the worker has answered, on another one, what was sent after that.
 	quietAfter = 150 * time.Millisecond
 	deadAfter  = 250 * time.Millisecond
 	stuckAfter = 600 * time.Millisecond // the rest of an answer that has begun is not waited for any longer
@@ -78,6 +78,7 @@
 	order   []*worker // the same, as they came: equal runs must do equal things
 	calls   map[router.Attempt]*call
 	pings   uint64
+	silence silence
 	dials   int // under way
 	Count   Counters
 }
@@ -86,6 +87,7 @@
 type Counters struct {
 	Dials, DialsFailed, Trials, TrialsFailed uint64
 	Moved                                    uint64 // calls that never left one connection and went to another
+	Pings                                    uint64 // connections asked for a sign of life
 }
 
 type worker struct {
@@ -330,21 +332,17 @@
 // while others to the same worker may be well: the worker as a whole is then no reason to go elsewhere.
 // Bytes prove nothing here, only whole answers do.
 func (c *conn) watch() {
-	now, since := c.pool.now, time.Duration(0)
-	for _, k := range c.open {
-		if k.kind == run && k.written && (since == 0 || k.sent < since) {
-			since = k.sent
-		}
-	}
+	now := c.pool.now
 	if len(c.part) > 0 && now-c.begun > stuckAfter {
 		c.fault(errStuck)
 		return
 	}
-	if since == 0 || now-max(since, c.heard) <= quietAfter {
+	if quiet, owes := c.quiet(); !owes || quiet <= max(quietAfter, c.pool.silence.usual()) {
 		return
 	}
 	if c.pinged == 0 {
 		c.pinged = now
+		c.pool.Count.Pings++
 		c.w.paths.Suspect(now, c.addr)
 		c.pool.pings++
 		k := &call{kind: ping, token: "n" + strconv.FormatUint(c.pool.pings, 10)}
@@ -358,6 +356,17 @@
 	}
 }
 
+// quiet is for how long c has owed the answer to a call and brought no whole answer. Owes is false where it owes
+// none.
+func (c *conn) quiet() (since time.Duration, owes bool) {
+	for _, k := range c.open {
+		if k.kind == run && k.written && (!owes || k.sent < since) {
+			since, owes = k.sent, true
+		}
+	}
+	return c.pool.now - max(since, c.heard), owes
+}
+
 // fault ends a connection that is of no further use.
 func (c *conn) fault(err error) {
 	slog.Warn("worker_closed", "addr", c.addr, "err", err)
@@ -646,9 +655,12 @@
 	if len(words) < 2 {
 		return errSyntax
 	}
+	k := c.open[string(words[0])]
+	if quiet, owes := c.quiet(); owes && k != nil && k.kind == run {
+		c.pool.silence.see(quiet)
+	}
 	c.heard, c.pinged = c.pool.now, 0
 	c.w.paths.Heard(c.addr)
-	k := c.open[string(words[0])]
 	if k == nil {
 		return nil // a second copy, or of a call that was given up
 	}
--- /dev/null
+++ b/internal/resp/silence_test.go
@@ -0,0 +1,81 @@
+package resp
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"crankhold/internal/router"
+	"crankhold/policy"
+)
+
+// Guards the sum over a fleet of routers: each sends a worker a call now and then, of a length that varies as
+// calls' lengths do, over connections that carry hardly more than one at a time. Signs of life, which
+// are paid for like probes, were asked for with each call that took longer than 150 ms.
+func TestThinTrafficAsksForFewSignsOfLife(t *testing.T) {
+	const routers, calls = 100, 60
+	pings := uint64(0)
+	for seed := range uint64(routers) {
+		rng := rand.New(rand.NewPCG(seed, 1))
+		p, s, lines := newPool()
+		now := time.Hour
+		for n := range calls {
+			now += time.Second
+			p.Sweep(now)
+			id, a := fmt.Sprintf("%016x", n+1), router.Attempt{Request: policy.RequestID(n + 1)}
+			p.Run(1, a, request(id), 3*time.Second)
+			if n == 0 {
+				(*lines)[0].h.Opened(nil)
+			}
+			for end := now + time.Duration(rng.ExpFloat64()*float64(120*time.Millisecond)); now < end; {
+				now = min(now+SweepEvery, end)
+				p.Sweep(now)
+			}
+			(*lines)[0].h.Data(reply(id, "HIT", ""))
+			if len(s.ended[a]) != 1 {
+				t.Fatalf("call %d ended %v", n, s.ended[a])
+			}
+		}
+		pings += p.Count.Pings
+	}
+	if most := uint64(routers * calls / 20); pings > most {
+		t.Errorf("%d signs of life for %d calls, %d at most", pings, routers*calls, most)
+	}
+}
+
+// Guards what signs of life are for: where answers come close on each other, a connection that falls silent is
+// asked after quietAfter as before; and one that carries few calls is asked in the end too.
+func TestSilenceIsNoticedByWhatIsUsual(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		usual, least time.Duration
+		most         time.Duration
+	}{
+		{"dense", 5 * time.Millisecond, quietAfter, quietAfter + 2*SweepEvery},
+		{"thin", 200 * time.Millisecond, 200 * time.Millisecond, time.Second},
+	} {
+		p, _, lines := newPool()
+		now := time.Hour
+		for n := range 100 {
+			id := fmt.Sprintf("%016x", n+1)
+			p.SetNow(now)
+			p.Run(1, router.Attempt{Request: policy.RequestID(n + 1)}, request(id), time.Second)
+			if n == 0 {
+				(*lines)[0].h.Opened(nil)
+			}
+			now += c.usual
+			p.SetNow(now)
+			(*lines)[0].h.Data(reply(id, "HIT", ""))
+		}
+		asked, began := p.Count.Pings, now
+		p.Run(1, router.Attempt{Request: 999}, request("00000000000000ff"), 3*time.Second)
+		for p.Count.Pings == asked && now < began+3*time.Second {
+			now += SweepEvery / 5
+			p.Sweep(now)
+		}
+		if after := now - began; after < c.least || after > c.most {
+			t.Errorf("%s: asked for a sign of life after %v, wanted from %v to %v", c.name, after, c.least, c.most)
+		}
+	}
+}
--- a/internal/service/counters.go
+++ b/internal/service/counters.go
@@ -20,7 +20,7 @@
 	slog.Info("counters", append([]any{"orders", n.Orders, "unloads", n.Unloads}, byOutcome(n.OrderEnded)...)...)
 	slog.Info("counters", append([]any{"probes", n.Probes}, byOutcome(n.ProbeEnded)...)...)
 	k := pool.Count
-	slog.Info("counters", "dials", k.Dials, "dials_failed", k.DialsFailed, "trials", k.Trials, "trials_failed", k.TrialsFailed, "moved", k.Moved)
+	slog.Info("counters", "dials", k.Dials, "dials_failed", k.DialsFailed, "trials", k.Trials, "trials_failed", k.TrialsFailed, "moved", k.Moved, "pings", k.Pings)
 	if t := core.Routes(); t != nil {
 		for _, p := range t.Pools() {
 			slog.Info("counters", "pool", p.Spec.Name, "workers", p.Size(), "calls", p.Calls, "in_flight", p.InFlight(), "peak", p.Peak(),
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -218,7 +218,7 @@
 			r.stream = true
 		}
 	case Abandoned:
-		if r := p.reqs[e.Request]; r != nil && !r.done { // who asks and takes it back must not widen the ration
+		if r := p.reqs[e.Request]; r != nil && !r.done { // what was taken back widens no ration
 			p.arrivals.drop(r.deadline - r.Left)
 			p.close(r)
 		}
