Give workers homes by their size, where a fleet's routers see too few calls to learn it

Change: the rank is weighted by the size that the list tells (log of the draw over the size), 1 where it tells none. Test: 100 routers that share nothing; sizes 6 and 4 get calls as 3 to 2, each function one home.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -492,12 +492,12 @@
 	return score
 }
 
-// home ranks workers for a function alike at all dispatchers.
-func home(f FunctionID, w WorkerID) uint64 {
+// home ranks workers for a function alike at all dispatchers, and first as often as their size makes them.
+func home(f FunctionID, w WorkerID, size float64) float64 {
 	x := uint64(f)*0x9e3779b97f4a7c15 ^ uint64(w)*0xc2b2ae3d27d4eb4f
 	x ^= x >> 31
 	x *= 0xbf58476d1ce4e5b9
-	return x ^ x>>29
+	return math.Log((float64((x^x>>29)>>11)+1)/(1<<53)) / cmp.Or(max(size, 0), 1) // of 0: not told
 }
 
 // homeOf returns the home of r's function, the first in rank of those that we think cold, and the chance that
@@ -509,13 +509,13 @@
 	share := f.calls * run * float64(p.ready) / max(p.rate, run)
 	homes := 1 + int((1-1/float64(p.cfg.Peers))*max(share, f.jams))
 	for s := 1; s < min(homes, p.ready); s++ {
-		if home(f.id+FunctionID(s), WorkerID(p.self)) > home(f.id+FunctionID(slot), WorkerID(p.self)) {
+		if home(f.id+FunctionID(s), WorkerID(p.self), 1) > home(f.id+FunctionID(slot), WorkerID(p.self), 1) {
 			slot = s
 		}
 	}
-	key, first, top, rank := f.id^FunctionID(slot)<<48, (*worker)(nil), uint64(0), uint64(0)
+	key, first, top, rank := f.id^FunctionID(slot)<<48, (*worker)(nil), 0.0, 0.0
 	for _, w := range cands {
-		h := home(key, w.Worker)
+		h := home(key, w.Worker, w.Weight)
 		if first == nil || h > top {
 			first, top = w, h
 		}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -3,6 +3,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 )
@@ -328,6 +329,50 @@
 }
 
 // In overload work turned away as full must not count as what a worker can take.
+// Guards small workers of a fleet whose routers see too few calls to learn who is slow: over many routers that share
+// nothing, functions have their homes at workers in proportion to their size, and each at one worker for all routers.
+func TestHomesAreSharedOutBySize(t *testing.T) {
+	const routers, calls = 100, 40
+	cfg := config()
+	cfg.Peers, cfg.MissWhenCold, cfg.MayOrder = routers, true, true
+	sizes := []float64{6, 6, 6, 6, 4, 4, 4, 4}
+	var l WorkerList
+	l.Kind = ListWhole
+	for i, size := range sizes {
+		l.Workers = append(l.Workers, WorkerEntry{Worker: WorkerID(workerHash(i)), State: Ready, Weight: size})
+	}
+	sent, homes := map[float64]int{}, map[FunctionID]WorkerID{}
+	for seed := range uint64(routers) {
+		p, err := New(cfg, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rng := rand.New(rand.NewPCG(seed, 7))
+		p.Handle(time.Hour, l, nil)
+		for n := range calls {
+			f := FunctionID(1 + rng.IntN(2000))
+			now := time.Hour + time.Duration(n)*time.Minute // nothing is remembered
+			id := RequestID(n + 1)
+			s, ok := first[Send](p.Handle(now, Arrived{Request: id, Function: f, LoadTime: time.Second, Left: 4 * time.Second}, nil))
+			if !ok {
+				t.Fatal("not sent")
+			}
+			p.Handle(now, AttemptEnded{Request: id, Worker: s.Worker, Outcome: Served, Closed: true, Took: 50 * ms}, nil)
+			if at, known := homes[f]; known && at != s.Worker {
+				t.Fatalf("function %d has a home at %x and one at %x", f, at, s.Worker)
+			}
+			homes[f] = s.Worker
+			sent[l.Workers[slices.IndexFunc(l.Workers, func(e WorkerEntry) bool { return e.Worker == s.Worker })].Weight]++
+		}
+	}
+	if ratio := float64(sent[6]) / float64(sent[4]); ratio < 1.3 || ratio > 1.7 {
+		t.Errorf("workers of sizes 6 and 4 were sent %d and %d calls", sent[6], sent[4])
+	}
+}
+
+// workerHash makes ids that look as those made of names do.
+func workerHash(i int) uint64 { return uint64(i+1) * 0xd6e8feb86659fd93 }
+
 // Guards the ration against calls that their clients take back: on a full fleet one bad client's 200 calls had a
 // router that took 70 give 30 orders, where 25 were allowed.
 func TestCallsTakenBackDoNotWidenTheRation(t *testing.T) {
