Let a worker's size count in the ranks of homes for as much as other routers carry

Cause: a router that carries all or half of the calls sees by its answers who is slow; ranks that send more to large workers beside that count it twice. Fault: policy.go, home. Change: the size to the power of 1 - 1/peers, kept at the worker when the list comes, so that a rank costs one logarithm. emit returns in one place, which makes the room: 988 lines. The test holds a lone router to equal homes too.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -101,6 +101,7 @@
 	WorkerEntry
 	cold          time.Duration // when it last began cold, as told; 0: long ago
 	luck          float64       // drawn at each start, part of a call
+	size          float64       // its weight in the ranks of homes
 	out           []*attempt    // in the order of their sends
 	slope         fit
 	fails         []drift       // by class, whether calls go unserved there
@@ -239,12 +240,11 @@
 
 // emit is the one place where actions leave. It keeps the rules: what would break one is not emitted.
 func (p *Policy) emit(a Action) bool {
+	may := true
 	switch a := a.(type) {
 	case Send:
 		r, w := p.reqs[a.Request], p.workers[a.Worker]
-		if r == nil || w == nil || !p.maySend(r, w) {
-			return false
-		}
+		may = r != nil && w != nil && p.maySend(r, w)
 	case Refuse: // nothing may have run, or its repeat is harmless wherever it goes
 		r := p.reqs[a.Request]
 		if r == nil || r.done {
@@ -267,20 +267,16 @@
 			p.orders.add(p.now, p.cfg.LoadWindow)
 		}
 	case Subscribe: // only where the list does not come by itself
-		if !p.cfg.ListByAsking || p.subscribed {
-			return false
-		}
+		may = p.cfg.ListByAsking && !p.subscribed
 	case Probe:
-		if !p.cfg.MayProbe {
-			return false
-		}
+		may = p.cfg.MayProbe
 	case Cancel:
-		if !p.cfg.MayCancel {
-			return false
-		}
+		may = p.cfg.MayCancel
 	}
-	p.out = append(p.out, a)
-	return true
+	if may {
+		p.out = append(p.out, a)
+	}
+	return may
 }
 
 // ration is how many load orders the window may hold now.
@@ -371,6 +367,7 @@
 			clear(w.fails)
 		}
 		w.WorkerEntry = e
+		w.size = math.Pow(cmp.Or(sane(e.Weight, 0, 1e9), 1), 1-1/float64(p.cfg.Peers)) // 0: not told
 	}
 	p.ready = 0
 	for _, w := range p.fleet {
@@ -493,11 +490,12 @@
 }
 
 // home ranks workers for a function alike at all dispatchers, and first as often as their size makes them.
+// That counts for as much as others carry: what a dispatcher's own calls wait shows it who is small.
 func home(f FunctionID, w WorkerID, size float64) float64 {
 	x := uint64(f)*0x9e3779b97f4a7c15 ^ uint64(w)*0xc2b2ae3d27d4eb4f
 	x ^= x >> 31
 	x *= 0xbf58476d1ce4e5b9
-	return math.Log((float64((x^x>>29)>>11)+1)/(1<<53)) / cmp.Or(max(size, 0), 1) // of 0: not told
+	return math.Log((float64((x^x>>29)>>11)+1)/(1<<53)) / size
 }
 
 // homeOf returns the home of r's function, the first in rank of those that we think cold, and the chance that
@@ -515,7 +513,7 @@
 	}
 	key, first, top, rank := f.id^FunctionID(slot)<<48, (*worker)(nil), 0.0, 0.0
 	for _, w := range cands {
-		h := home(key, w.Worker, w.Weight)
+		h := home(key, w.Worker, w.size)
 		if first == nil || h > top {
 			first, top = w, h
 		}
