Ask a connection for a sign of life only after the longest silences of late

Cause: resp.conn.quiet took an answered sign of life for the end of a silence (pool.go, answer), so a call of 800 ms was learned as silences of 200 ms, each of which brought the length down and led to more; and misses, answered within 1 ms, were learned as silences too (silence.go, mean and deviation).

Change: a silence counts in full length whatever signs of life came in it; only calls that ran count; what is usual is the longest of late, which fades, and begins with the time in which the slowest class wants its answers.

--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -63,6 +63,7 @@
 	ReportFields []string
 	DialTimeout  time.Duration
 	KeepAlive    time.Duration // a worker closes a connection that is idle for so long
+	Wanted       time.Duration // within which the slowest class wants its answers
 	PerConn      int           // calls at a time on one connection
 	MaxConns     int           // to all workers together
 	Seed         uint64        // spreads the back-offs of addresses that failed
@@ -144,6 +145,7 @@
 	runs    int
 	used    time.Duration
 	heard   time.Duration // when the last whole answer came
+	called  time.Duration // when the last one to a call did
 	proved  time.Duration // when the latest of the calls was sent that have been answered
 	pinged  time.Duration // when it was asked for a sign of life that hasn't come; 0: it was not
 	part    []byte        // the beginning of an answer
@@ -152,7 +154,8 @@
 
 // New returns a Pool that knows no worker.
 func New(cfg Config, sink Sink) *Pool {
-	return &Pool{cfg: cfg, sink: sink, workers: map[policy.WorkerID]*worker{}, calls: map[router.Attempt]*call{}}
+	return &Pool{cfg: cfg, sink: sink, workers: map[policy.WorkerID]*worker{}, calls: map[router.Attempt]*call{},
+		silence: silence{peak: cfg.Wanted}}
 }
 
 // SetNow moves the clock on.
@@ -337,7 +340,7 @@
 		c.fault(errStuck)
 		return
 	}
-	if quiet, owes := c.quiet(); !owes || quiet <= max(quietAfter, c.pool.silence.usual()) {
+	if quiet, owes := c.quiet(c.heard); !owes || quiet <= max(quietAfter, c.pool.silence.usual()) {
 		return
 	}
 	if c.pinged == 0 {
@@ -356,15 +359,15 @@
 	}
 }
 
-// quiet is for how long c has owed the answer to a call and brought no whole answer. Owes is false where it owes
+// quiet is for how long c has owed the answer to a call and, since heard, brought none. Owes is false where it owes
 // none.
-func (c *conn) quiet() (since time.Duration, owes bool) {
+func (c *conn) quiet(heard time.Duration) (since time.Duration, owes bool) {
 	for _, k := range c.open {
 		if k.kind == run && k.written && (!owes || k.sent < since) {
 			since, owes = k.sent, true
 		}
 	}
-	return c.pool.now - max(since, c.heard), owes
+	return c.pool.now - max(since, heard), owes
 }
 
 // fault ends a connection that is of no further use.
@@ -656,8 +659,12 @@
 		return errSyntax
 	}
 	k := c.open[string(words[0])]
-	if quiet, owes := c.quiet(); owes && k != nil && k.kind == run {
-		c.pool.silence.see(quiet)
+	if k != nil && k.kind == run {
+		if string(words[1]) == "HIT" { // a miss comes at once and tells of no call that runs
+			quiet, _ := c.quiet(c.called) // signs of life don't count: they were asked for because it was long
+			c.pool.silence.see(quiet)
+		}
+		c.called = c.pool.now
 	}
 	c.heard, c.pinged = c.pool.now, 0
 	c.w.paths.Heard(c.addr)
--- a/internal/resp/silence_test.go
+++ b/internal/resp/silence_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"math/rand/v2"
 	"testing"
 	"time"
@@ -14,23 +15,42 @@
 // calls' lengths do, over connections that carry hardly more than one at a time. Signs of life, which
 // are paid for like probes, were asked for with each call that took longer than 150 ms.
 func TestThinTrafficAsksForFewSignsOfLife(t *testing.T) {
-	const routers, calls = 100, 60
-	pings := uint64(0)
-	for seed := range uint64(routers) {
+	const routers, calls = 20, 300
+	for _, misses := range []int{0, 1, 3} { // a call that is answered at once between two that run, as a miss is
+		thinTraffic(t, routers, calls, misses)
+	}
+}
+
+func thinTraffic(t *testing.T, routers uint64, calls, misses int) {
+	pings, last := uint64(0), 0
+	for seed := range routers {
 		rng := rand.New(rand.NewPCG(seed, 1))
 		p, s, lines := newPool()
-		now := time.Hour
+		p.silence.peak = 500 * time.Millisecond
+		now, asked := time.Hour, uint64(0)
 		for n := range calls {
 			now += time.Second
 			p.Sweep(now)
+			for range misses * min(n, 1) {
+				last++
+				id := fmt.Sprintf("%016x", 1<<20+last)
+				p.Run(1, router.Attempt{Request: policy.RequestID(1<<20 + last)}, request(id), 3*time.Second)
+				now += time.Millisecond
+				p.SetNow(now)
+				(*lines)[0].h.Data(reply(id, "NONE", ""))
+			}
 			id, a := fmt.Sprintf("%016x", n+1), router.Attempt{Request: policy.RequestID(n + 1)}
 			p.Run(1, a, request(id), 3*time.Second)
 			if n == 0 {
 				(*lines)[0].h.Opened(nil)
 			}
-			for end := now + time.Duration(rng.ExpFloat64()*float64(120*time.Millisecond)); now < end; {
+			for end := now + time.Duration(math.Exp(1.3*rng.NormFloat64())*float64(60*time.Millisecond)); now < end; {
 				now = min(now+SweepEvery, end)
 				p.Sweep(now)
+				if p.Count.Pings > asked { // the worker is well
+					asked = p.Count.Pings
+					(*lines)[0].h.Data([]byte(fmt.Sprintf("*2\r\n$%d\r\nn%d\r\n$4\r\nPONG\r\n", len(fmt.Sprint("n", p.pings)), p.pings)))
+				}
 			}
 			(*lines)[0].h.Data(reply(id, "HIT", ""))
 			if len(s.ended[a]) != 1 {
@@ -39,8 +59,8 @@
 		}
 		pings += p.Count.Pings
 	}
-	if most := uint64(routers * calls / 20); pings > most {
-		t.Errorf("%d signs of life for %d calls, %d at most", pings, routers*calls, most)
+	if most := routers * uint64(calls) / 20; pings > most {
+		t.Errorf("%d misses between: %d signs of life for %d calls, %d at most", misses, pings, routers*uint64(calls), most)
 	}
 }
 
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -63,8 +63,10 @@
 		return err
 	}
 	var classes []string
-	for _, k := range c.Network.Classes {
+	wanted := time.Duration(0)
+	for i, k := range c.Network.Classes {
 		classes = append(classes, k.Name)
+		wanted = max(wanted, c.Module.Classes[i].Aim)
 	}
 	lp := loop.New(loop.Config{MaxAccepted: c.ClientConns(), MaxFiles: c.Limits.Sockets,
 		MaxQueued: c.Share(8 << 20), MaxUnread: c.Share(32 << 20)})
@@ -72,7 +74,7 @@
 		MaxAttempts: c.Module.MaxAttempts, OrderTimeout: c.Module.OrderTimeout, ProbeTimeout: probeTimeout})
 	pool := resp.New(resp.Config{Classes: classes, ReportFields: c.Module.ReportFields,
 		DialTimeout: platform.Millis(c.Network.Limits.DialTimeoutMs), KeepAlive: platform.Millis(c.Network.Limits.KeepaliveMs),
-		PerConn: c.Network.Limits.StreamsPerConn, MaxConns: c.WorkerConns(),
+		Wanted: wanted, PerConn: c.Network.Limits.StreamsPerConn, MaxConns: c.WorkerConns(),
 		Seed: c.Random, Dial: func(network, addr string, timeout time.Duration, h loop.Dialled) resp.Line {
 			return lp.Dial(network, addr, timeout, h)
 		}}, core)
