Let cold workers take what warm ones of their size do, by the time, not by luck at the start

Nobody pushed the cold ones over: they had next to nothing to do.

Lines at fault: policy.coldRoom. Its budget was a multiple of the mean that all ready workers serve, which starved new ones lower; and a part of a call was drawn once for a worker's life, so that at 0.06 to 0.35 calls a second most routers could never send there, and the rest seldom had a call for it.

Change: the budget is what warm workers that are no larger serve, by size, and comes on with time; a start owes a part of a call by chance; one more call may be saved.

The memory of long silences is 64 of them, so that dense connections forget one sooner.

--- a/internal/resp/silence.go
+++ b/internal/resp/silence.go
@@ -11,7 +11,7 @@
 type silence struct{ peak time.Duration }
 
 // silenceMemory is how many silences it takes for a long one to count half: about one in so many exceeds it.
-const silenceMemory = 128
+const silenceMemory = 64
 
 // see takes in one silence that has ended.
 func (s *silence) see(d time.Duration) { s.peak = max(d, s.peak-s.peak/silenceMemory) }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -7,6 +7,7 @@
 	"cmp"
 	"encoding/binary"
 	"fmt"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -19,17 +20,18 @@
 	slowBeat   = time.Second           // trials, first spell aside, sweeps
 	asideMost  = 8 * time.Second       // no worker is set aside for longer without a new look
 	rateSpan   = 10 * time.Second      // memory of the rate at which we are served
-	coldMargin = 0.7                   // part of the cold budget that we use: peers and chance need the rest
-	fitKeep    = 0.97                  // a fit remembers about 30 answers
-	fitPrior   = 8                     // answers that the fleet's slope weighs in each worker's
-	runPrior   = 5                     // answers that the class's run weighs in each function's
-	runMemory  = 30                    // answers that a run estimate remembers
-	delaySpan  = 3 * time.Second       // memory of a worker's queue: it drains in about that
-	fewAnswers = 6                     // fewer are remembered for longer: none newer come
-	clip       = 3                     // an answer counts as at most this multiple of the estimate
-	loadRate   = 0.2                   // weight of one load in the ratio of real to told load time
-	unheardRun = 0.25                  // part of the wanted time that a run takes until we know better
-	laneLoad   = 0.3                   // part of a load that a call beyond the lanes waits or has others pay
+	fade       = 1 - float64(beat)/float64(rateSpan)
+	coldMargin = 0.7             // part of the cold budget that we use: peers and chance need the rest
+	fitKeep    = 0.97            // a fit remembers about 30 answers
+	fitPrior   = 8               // answers that the fleet's slope weighs in each worker's
+	runPrior   = 5               // answers that the class's run weighs in each function's
+	runMemory  = 30              // answers that a run estimate remembers
+	delaySpan  = 3 * time.Second // memory of a worker's queue: it drains in about that
+	fewAnswers = 6               // fewer are remembered for longer: none newer come
+	clip       = 3               // an answer counts as at most this multiple of the estimate
+	loadRate   = 0.2             // weight of one load in the ratio of real to told load time
+	unheardRun = 0.25            // part of the wanted time that a run takes until we know better
+	laneLoad   = 0.3             // part of a load that a call beyond the lanes waits or has others pay
 
 	newsBytes = 16  // a worker and a function; 16 of them fill a message
 	likely    = 0.5 // a chance that is counted on where a wrong guess costs little
@@ -56,12 +58,12 @@
 	classes []classState
 	tenants []bucket
 
-	slope     fit     // all workers' queueing, what an unheard worker counts as
-	pace      fit     // delay over the requests that reports say wait, at all workers
-	waiting   int     // place of these in a report; -1: reports don't tell
-	standing  float64 // delay that three of four warm answers exceed
-	loadRatio float64 // real load time over the told one
-	rate      float64 // work served to us of late, decaying over rateSpan
+	slope      fit     // all workers' queueing, what an unheard worker counts as
+	pace       fit     // delay over the requests that reports say wait, at all workers
+	waiting    int     // place of these in a report; -1: reports don't tell
+	standing   float64 // delay that three of four warm answers exceed
+	loadRatio  float64 // real load time over the told one
+	rate, span float64 // work served to us of late and the seconds that it took, decaying over rateSpan
 
 	lastTrial, lastSweep time.Duration
 	failed               int           // loads that failed since one succeeded
@@ -99,20 +101,16 @@
 
 type worker struct {
 	WorkerEntry
-	cold          time.Duration // when it last began cold, as told; 0: long ago
-	luck          float64       // drawn at each start, part of a call
-	size          float64       // its weight in the ranks of homes
-	out           []*attempt    // in the order of their sends
-	slope         fit
-	fails         []drift       // by class, whether calls go unserved there
-	delay         drift         // the fit's constant: what others queue there beyond the average
-	heard, probed time.Duration // last sign of life, last probe
-	probing       bool
-	strikes       int
-	orders        int           // of ours that are out
-	aside         time.Duration // set aside until then
-	sends         []*attempt    // within FallFor, while cold
-	copies        map[FunctionID]*instance
+	room, taken          float64    // while cold: work that may go there now; what it takes in 1 s when warm
+	size, served         float64    // its weight in the ranks of homes; work served to us of late
+	out                  []*attempt // in the order of their sends
+	slope                fit
+	fails                []drift // by class, whether calls go unserved there
+	delay                drift   // the fit's constant: what others queue there beyond the average
+	probing              bool
+	strikes, orders      int           // signs of trouble since it was heard; orders of ours that are out
+	heard, probed, aside time.Duration // last sign of life, last probe, set aside until then
+	copies               map[FunctionID]*instance
 	marked
 }
 
@@ -121,25 +119,23 @@
 	w               *worker
 	warmUntil, told time.Duration // told: when we last told the others
 	loading         time.Duration // a load under way is expected to end then; 0: none
-	inFlight        int
-	lanes           int        // calls of ours that it was seen to serve at a time
-	ordered         bool       // our order is out
-	parked          []*request // wait for its answer
+	inFlight, lanes int           // calls of ours: there now, and as many as it was seen to serve at a time
+	ordered         bool          // our order is out
+	parked          []*request    // wait for its answer
 }
 
 type request struct {
 	Arrived
-	fn           *function
-	deadline     time.Duration
-	attempts     []*attempt
-	outstand     int
-	ran          *attempt // the first attempt that may have run
-	done, stream bool
-	over         bool      // beyond its tenant's share
-	pool         Pool      // the workers that it may go to
-	again        int       // attempts after one that may have run
-	copying      bool      // a second copy is being sent
-	shunned      []*worker // turned it away or failed it
+	fn            *function
+	deadline      time.Duration
+	attempts      []*attempt
+	outstand      int
+	ran           *attempt // the first attempt that may have run
+	done, stream  bool
+	over, copying bool      // beyond its tenant's share; a second copy is being sent
+	pool          Pool      // the workers that it may go to
+	again         int       // attempts after one that may have run
+	shunned       []*worker // turned it away or failed it
 }
 
 type attempt struct {
@@ -287,7 +283,7 @@
 // maySend tells whether the rules let r go to w now.
 func (p *Policy) maySend(r *request, w *worker) bool {
 	return p.mayGo(r) && w.State == Ready && r.pool.Has(w.Worker) && p.repeatable(r, w) &&
-		p.coldRoom(w, r.Class)
+		p.coldRoom(w)
 }
 
 // mayGo tells whether r may go anywhere now: beside a first attempt only the copy that its terms ask for.
@@ -314,30 +310,37 @@
 			c.Group == GroupCell && w.Cell == ran.w.Cell)
 }
 
-// coldRoom guards a cold worker from being pushed over by all dispatchers together. What workers serve is
-// within their capacity, so each keeps its sends under the told multiple of what one worker serves it on
-// average: the sum holds however uneven the traffic, in overload too. A part of a call is rounded by chance,
-// drawn at each start of a worker, to none or one: many dispatchers that send little still send their sum.
-func (p *Policy) coldRoom(w *worker, class int) bool {
-	share := p.capacity(w)
-	if share >= 1 || p.cfg.FallFor <= 0 || p.cfg.FallMultiple <= 0 {
-		return true
-	}
-	sum, run := 0.0, p.classes[class].run
-	w.sends = slices.DeleteFunc(w.sends, func(a *attempt) bool { return a.sent < p.now-p.cfg.FallFor })
-	for _, a := range w.sends {
-		sum += p.classes[a.req.Class].run
+// coldRoom guards a cold worker from being pushed over by all dispatchers together. What warm workers serve
+// is within their capacity, so each lets come on no more than its part of that, under the told multiple: the
+// sum holds however uneven the traffic, in overload too. A start owes a part of a call, by chance, so that
+// many that send little take turns; a further call, or what a quarter of FallFor brings, may be saved up.
+func (p *Policy) coldRoom(w *worker) bool {
+	return w.room > 0 || p.capacity(w) >= 1
+}
+
+// taken is what a worker of w's size is seen to take when it is warm: what those that are no larger serve us,
+// in proportion to their sizes, or all that are warm where there are none, or what was seen last.
+func (p *Policy) taken(w *worker) float64 {
+	for _, most := range []float64{w.Weight, math.Inf(1)} {
+		work, sizes := 0.0, 0.0
+		for _, o := range p.fleet {
+			if o.State == Ready && o.Weight <= most && p.capacity(o) >= 1 {
+				work, sizes = work+o.served, sizes+cmp.Or(o.Weight, 1)
+			}
+		}
+		if sizes > 0 {
+			return work / p.span / sizes * cmp.Or(w.Weight, 1)
+		}
 	}
-	mean := p.rate / rateSpan.Seconds() / float64(max(p.ready, 1)) * p.cfg.FallFor.Seconds()
-	return sum+run*(1-w.luck) <= coldMargin*p.cfg.FallMultiple*share*mean
+	return w.taken
 }
 
 // capacity is the least share of its full capacity that w has now.
 func (p *Policy) capacity(w *worker) float64 {
-	if w.cold == 0 || p.cfg.ColdFor <= 0 {
+	if w.Started == 0 || p.cfg.ColdFor <= 0 || p.cfg.FallFor <= 0 || p.cfg.FallMultiple <= 0 {
 		return 1
 	}
-	age := sane(float64(p.now-w.cold)/float64(p.cfg.ColdFor), 0, 1)
+	age := sane(float64(p.now-w.Started)/float64(p.cfg.ColdFor), 0, 1)
 	return p.cfg.ColdFrom + (1-p.cfg.ColdFrom)*age
 }
 
@@ -352,17 +355,17 @@
 	named := map[WorkerID]bool{}
 	for _, e := range l.Workers {
 		named[e.Worker] = true
-		w := p.workers[e.Worker]
-		if w == nil {
-			w = &worker{WorkerEntry: e, copies: map[FunctionID]*instance{}, cold: e.Started,
-				luck: p.rng.Float64(), fails: make([]drift, len(p.classes))}
+		w, known := p.workers[e.Worker]
+		if !known {
+			w = &worker{copies: map[FunctionID]*instance{}, fails: make([]drift, len(p.classes))}
 			p.workers[e.Worker] = w
 			p.fleet = append(p.fleet, w)
-		} else if e.Started > w.Started { // a new process: nothing we believe of the old one holds
+		}
+		if !known || e.Started > w.Started { // a new process: nothing we believe of the old one holds
 			for _, i := range w.copies {
 				i.warmUntil, i.loading, i.lanes = 0, 0, 0
 			}
-			w.cold, w.luck, w.strikes, w.aside = e.Started, p.rng.Float64(), 0, 0
+			w.strikes, w.aside, w.served, w.room = 0, 0, 0, -p.rng.Float64()*p.classes[0].run
 			w.slope, w.delay = fit{}, drift{}
 			clear(w.fails)
 		}
@@ -535,7 +538,7 @@
 	anywhere, keyed := p.mayGo(r) && p.repeatable(r, nil), r.ran != nil && p.classes[r.Class].Repeat == Keyed
 	for _, w := range p.fleet {
 		if anywhere && w.State == Ready && !p.looksBad(w) && r.pool.Has(w.Worker) &&
-			!slices.Contains(r.shunned, w) && (!keyed || p.repeatable(r, w)) && p.coldRoom(w, r.Class) {
+			!slices.Contains(r.shunned, w) && (!keyed || p.repeatable(r, w)) && p.coldRoom(w) {
 			p.cands = append(p.cands, w)
 		}
 	}
@@ -706,9 +709,7 @@
 	r.outstand++
 	w.out = append(w.out, a)
 	i.inFlight++
-	if p.capacity(w) < 1 {
-		w.sends = append(w.sends, a)
-	}
+	w.room -= p.classes[r.Class].run
 	if !p.cfg.MissWhenCold && load > 0 && i.loading == 0 {
 		i.loading = p.now + time.Duration(load)
 	}
@@ -758,7 +759,7 @@
 	case Served:
 		p.alive(w)
 		w.fails[r.Class].see(p.now, 0)
-		p.rate += p.classes[r.Class].run
+		p.rate, w.served = p.rate+p.classes[r.Class].run, w.served+p.classes[r.Class].run
 		p.learn(a, e)
 	case Errored, Full, Missed:
 		p.alive(w)
@@ -980,7 +981,11 @@
 // beat is the housekeeping.
 func (p *Policy) beat() {
 	p.emit(SetTimer{After: beat, Token: beatToken})
+	p.rate, p.span = fade*p.rate, fade*p.span+beat.Seconds()
 	for _, w := range p.fleet {
+		w.served *= fade
+		rate := coldMargin * p.cfg.FallMultiple * p.capacity(w) * w.taken
+		w.room = min(w.room+rate*beat.Seconds(), max(rate*p.cfg.FallFor.Seconds()/4, p.classes[0].run))
 		if w.State == Gone || w.probing {
 			continue
 		}
@@ -1004,7 +1009,6 @@
 		return
 	}
 	p.lastSweep = p.now // what is no longer used goes
-	p.rate -= p.rate * float64(slowBeat) / float64(rateSpan)
 	p.fleet = slices.DeleteFunc(p.fleet, func(w *worker) bool {
 		gone := w.State == Gone && len(w.out) == 0 && w.orders == 0
 		if gone {
@@ -1014,17 +1018,16 @@
 		return gone
 	})
 	for _, w := range p.fleet {
+		if p.capacity(w) < 1 {
+			w.taken = p.taken(w)
+		}
 		for id, i := range w.copies {
 			if i.inFlight == 0 && !i.ordered && p.now > i.warmUntil && p.now > i.loading {
 				p.believed.drop(id, w)
 			}
 		}
 	}
-	for id, f := range p.funcs {
-		if p.now-f.used > 2*time.Minute {
-			delete(p.funcs, id)
-		}
-	}
+	maps.DeleteFunc(p.funcs, func(_ FunctionID, f *function) bool { return p.now-f.used > 2*time.Minute })
 }
 
 // finish gives the final answer: a refusal where that is true, else a failure. The client is told to come
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -23,10 +23,11 @@
 
 // bed drives a Policy by hand.
 type bed struct {
-	t   *testing.T
-	p   *Policy
-	now time.Duration
-	id  RequestID
+	t       *testing.T
+	p       *Policy
+	now     time.Duration
+	id      RequestID
+	toFirst int // sends to worker 1
 }
 
 func newBed(t *testing.T, cfg Config, workers int) *bed {
@@ -45,7 +46,15 @@
 	return b
 }
 
-func (b *bed) do(ev Event) []Action { return b.p.Handle(b.now, ev, nil) }
+func (b *bed) do(ev Event) []Action {
+	acts := b.p.Handle(b.now, ev, nil)
+	for _, a := range acts {
+		if s, ok := a.(Send); ok && s.Worker == 1 {
+			b.toFirst++
+		}
+	}
+	return acts
+}
 
 func (b *bed) arrive(class int, f FunctionID) (RequestID, []Action) {
 	b.id++
@@ -65,6 +74,23 @@
 	return s.Worker
 }
 
+// serveInTime is serve from a warm copy, with the beats that the time brings.
+func (b *bed) serveInTime(f FunctionID, took time.Duration) {
+	id, acts := b.arrive(0, f)
+	s, _ := first[Send](acts)
+	b.pass(took)
+	b.do(AttemptEnded{Request: id, Worker: s.Worker, Outcome: Served, Note: WasWarm, Closed: true, Took: took})
+}
+
+// pass lets time go by, with its beats.
+func (b *bed) pass(d time.Duration) {
+	for end := b.now + d; b.now < end; {
+		if b.now += ms; b.now%beat == 0 {
+			b.do(TimerFired{Token: beatToken})
+		}
+	}
+}
+
 func first[A Action](acts []Action) (A, bool) {
 	for _, a := range acts {
 		if a, ok := a.(A); ok {
@@ -417,14 +443,13 @@
 func TestColdWorkerGetsNoMoreThanItsBudget(t *testing.T) {
 	b := newBed(t, config(), 5)
 	for range 200 { // 10 a second over 5 workers
-		b.serve(FunctionID(b.now%50), 100*ms, WasWarm)
-		if b.now%time.Second < 100*ms {
-			b.do(TimerFired{Token: beatToken})
-		}
+		b.serveInTime(FunctionID(b.now%50), 95*ms)
+		b.pass(5 * ms)
 	}
 	b.do(WorkerList{Workers: []WorkerEntry{{Worker: 1, State: Ready, Started: b.now}}})
 	sent := 0
-	for f := FunctionID(1000); f < 1400; f++ {
+	for f := FunctionID(1000); f < 1600; f++ {
+		b.pass(10 * ms)
 		id, acts := b.arrive(0, f)
 		s, ok := first[Send](acts)
 		for n := 0; ok; n++ {
@@ -434,42 +459,67 @@
 			s, ok = first[Send](b.do(AttemptEnded{Request: id, Attempt: n, Worker: s.Worker, Outcome: Errored}))
 		}
 	}
-	// A share of 0.2 at a multiple of 2 allows 0.4 of the mean: 2.4 of 6 in the 3 s window.
-	if sent < 1 || sent > 3 {
-		t.Errorf("%d sends to a cold worker at once", sent)
+	// A share of 0.2 to 0.6 at a multiple of 2 allows 0.8 of the mean, 2 a second, on average: 9.6 in 6 s.
+	if sent < 4 || sent > 9 {
+		t.Errorf("%d sends to a cold worker in 6 s", sent)
 	}
 }
 
-// Of many dispatchers, blind to each other, each may send a worker that just started only part of a call.
+// Of many dispatchers, blind to each other, each may send a worker that just started only part of a call. But where
+// most of a fleet starts at once, that part is of what the warm rest takes, not of a mean that the cold ones lower:
+// the rest would be overrun while new workers have next to nothing to do.
 func TestManyDispatchersTogetherSpareAColdWorker(t *testing.T) {
-	const peers, workers, each = 100, 10, 30 // calls of each dispatcher in 10 s
-	cfg := config()
-	cfg.Peers = peers
-	sent := 0
-	for n := range peers {
-		b := newBed(t, cfg, workers)
-		b.p.rng = rand.New(rand.NewPCG(uint64(n), 1))
-		for k := range each {
-			b.serve(FunctionID(k), 300*ms, WasWarm)
-			b.now += 33 * ms
-		}
-		b.do(WorkerList{Workers: []WorkerEntry{{Worker: 1, State: Ready, Started: b.now}}})
-		for f := FunctionID(1000); f < 1009; f++ { // 3 s of calls for functions that stand nowhere
-			b.now += 333 * ms
-			id, acts := b.arrive(0, f)
-			s, ok := first[Send](acts)
-			for try := 0; ok; try++ {
-				if s.Worker == 1 {
-					sent++
-				}
-				s, ok = first[Send](b.do(AttemptEnded{Request: id, Attempt: try, Worker: s.Worker, Outcome: Errored}))
-			}
+	for _, started := range []int{1, 6} { // of ten workers
+		sent := 0
+		for n := range 100 {
+			sent += coldSends(t, uint64(n), started)
+		}
+		// All serve 300 calls a second, so a warm worker takes 30, and 75 where six don't. At 0.2 to 0.44 of that, in
+		// the mean 0.32, and a multiple of 2, 3 s allow 58 and 144; half is well used.
+		mean := 300.0
+		if started == 1 {
+			mean /= 10
+		} else {
+			mean /= 4
+		}
+		if most := 3 * 0.32 * 2 * mean; float64(sent) < most/4 || float64(sent) > most {
+			t.Errorf("%d started: %d sends to one of them within 3 s by all together, %.0f at most", started, sent, most)
 		}
 	}
-	// A worker serves 30 calls a second. At 0.2 to 0.44 of its capacity and a multiple of 2, 3 s allow 36 to 79.
-	if sent < 8 || sent > 60 {
-		t.Errorf("%d sends to a cold worker within 3 s by all together", sent)
+}
+
+// coldSends is how many calls a dispatcher that serves 3 in a second sends to worker 1, 10 s after it and others
+// were away and while they come back cold, of twenty in a second for functions that stand nowhere.
+func coldSends(t *testing.T, seed uint64, started int) int {
+	cfg := config()
+	cfg.Peers = 100
+	b := newBed(t, cfg, 10)
+	b.p.rng = rand.New(rand.NewPCG(seed, 1))
+	gone, back := WorkerList{}, WorkerList{}
+	for w := range started {
+		gone.Workers = append(gone.Workers, WorkerEntry{Worker: WorkerID(w + 1), State: Gone})
+	}
+	if started > 1 {
+		b.do(gone)
+	}
+	for k := range 60 {
+		b.serveInTime(FunctionID(k), 300*ms)
+		b.pass(33 * ms)
+	}
+	for w := range started {
+		back.Workers = append(back.Workers, WorkerEntry{Worker: WorkerID(w + 1), State: Ready, Started: b.now})
+	}
+	b.do(back)
+	before := b.toFirst
+	for f := FunctionID(1000); f < 1060; f++ {
+		b.pass(50 * ms)
+		id, acts := b.arrive(0, f)
+		s, ok := first[Send](acts)
+		for try := 0; ok; try++ {
+			s, ok = first[Send](b.do(AttemptEnded{Request: id, Attempt: try, Worker: s.Worker, Outcome: Errored}))
+		}
 	}
+	return b.toFirst - before
 }
 
 // Messages must cost the same a call whether few or many dispatchers carry the traffic; no probe goes out unasked for.
--- a/policy/stream_test.go
+++ b/policy/stream_test.go
@@ -181,14 +181,14 @@
 	}
 }
 
-// recorded are the sums of the streams by the module as it was before its work for each call was made cheaper
-// (commit 607ad23).
+// recorded are the sums of the streams by the module as it was when what cold workers are sent last changed. Work
+// that is to make a call cheaper and nothing else leaves them as they are.
 var recorded = map[string]uint64{
 	"12 workers":                16300824678982796158,
-	"12 workers with faults":    5949359511399363789,
-	"14 workers, loads by call": 9262904270675857962,
-	"100 workers with faults":   6793932473055748246,
-	"8 workers, overloaded":     4934609420035402359,
+	"12 workers with faults":    13552484240460057204,
+	"14 workers, loads by call": 14751682659623003740,
+	"100 workers with faults":   11106798497065535757,
+	"8 workers, overloaded":     8162145012422770477,
 }
 
 // Guards the choices: the same events get the same actions as before, ties and random draws included.
