Learn the speeds of sizes for the ranks of homes, and count calls called off as delay

Lines at fault: policy.homeOf ranks by the listed size, which goes as the cores do; a larger worker's cores are faster as well, which no router sees of one worker at two calls a second over 40, but of all workers of a size within seconds. And policy.ended took nothing from a call that was called off at its deadline: the worker looked idle again, and lost the next.

Change: might, a worker's size to a power between 1 and 3 that is learned of the runs over the sizes, ranks homes, and tells what a cold worker takes (in place of a look at those no larger). A call called off counts as at least its time.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -23,6 +23,8 @@
 	fade       = 1 - float64(beat)/float64(rateSpan)
 	coldMargin = 0.7             // part of the cold budget that we use: peers and chance need the rest
 	fitKeep    = 0.97            // a fit remembers about 30 answers
+	speedKeep  = 0.995           // the learned speeds of sizes remember about 200 answers
+	speedPrior = 0.5             // and begin with a dozen, at sizes half as large again, that show none
 	fitPrior   = 8               // answers that the fleet's slope weighs in each worker's
 	runPrior   = 5               // answers that the class's run weighs in each function's
 	runMemory  = 30              // answers that a run estimate remembers
@@ -61,6 +63,8 @@
 	slope      fit     // all workers' queueing, what an unheard worker counts as
 	pace       fit     // delay over the requests that reports say wait, at all workers
 	waiting    int     // place of these in a report; -1: reports don't tell
+	speed      fit     // of runs, less time over the log of the size, the usual one being 1
+	usual      float64 // size of a worker
 	standing   float64 // delay that three of four warm answers exceed
 	loadRatio  float64 // real load time over the told one
 	rate, span float64 // work served to us of late and the seconds that it took, decaying over rateSpan
@@ -230,8 +234,7 @@
 			p.finish(r, 0)
 		}
 	}
-	out, p.out = p.out, nil
-	return out
+	return p.out
 }
 
 // emit is the one place where actions leave. It keeps the rules: what would break one is not emitted.
@@ -240,7 +243,8 @@
 	switch a := a.(type) {
 	case Send:
 		r, w := p.reqs[a.Request], p.workers[a.Worker]
-		may = r != nil && w != nil && p.maySend(r, w)
+		may = r != nil && w != nil && p.mayGo(r) && w.State == Ready && r.pool.Has(w.Worker) &&
+			p.repeatable(r, w) && p.coldRoom(w)
 	case Refuse: // nothing may have run, or its repeat is harmless wherever it goes
 		r := p.reqs[a.Request]
 		if r == nil || r.done {
@@ -280,12 +284,6 @@
 	return p.cfg.LoadFree + p.cfg.LoadShare*float64(p.arrivals.since(p.now-p.cfg.LoadWindow+1))
 }
 
-// maySend tells whether the rules let r go to w now.
-func (p *Policy) maySend(r *request, w *worker) bool {
-	return p.mayGo(r) && w.State == Ready && r.pool.Has(w.Worker) && p.repeatable(r, w) &&
-		p.coldRoom(w)
-}
-
 // mayGo tells whether r may go anywhere now: beside a first attempt only the copy that its terms ask for.
 func (p *Policy) mayGo(r *request) bool {
 	return !r.done && !r.stream && (r.outstand == 0 || r.outstand == 1 && r.copying) && p.now < r.deadline &&
@@ -311,28 +309,28 @@
 }
 
 // coldRoom guards a cold worker from being pushed over by all dispatchers together. What warm workers serve
-// is within their capacity, so each lets come on no more than its part of that, under the told multiple: the
-// sum holds however uneven the traffic, in overload too. A start owes a part of a call, by chance, so that
-// many that send little take turns; a further call, or what a quarter of FallFor brings, may be saved up.
-func (p *Policy) coldRoom(w *worker) bool {
-	return w.room > 0 || p.capacity(w) >= 1
-}
+// is within their capacity, so each lets come on no more than its part of that, under the told multiple. A
+// start owes a part of a call, by chance, so that many that send little take turns; one may be saved up.
+func (p *Policy) coldRoom(w *worker) bool { return w.room > 0 || p.capacity(w) >= 1 }
 
-// taken is what a worker of w's size is seen to take when it is warm: what those that are no larger serve us,
-// in proportion to their sizes, or all that are warm where there are none, or what was seen last.
+// taken is what w would be seen to take when warm, as those that are do; where none is, what was seen last.
 func (p *Policy) taken(w *worker) float64 {
-	for _, most := range []float64{w.Weight, math.Inf(1)} {
-		work, sizes := 0.0, 0.0
-		for _, o := range p.fleet {
-			if o.State == Ready && o.Weight <= most && p.capacity(o) >= 1 {
-				work, sizes = work+o.served, sizes+cmp.Or(o.Weight, 1)
-			}
-		}
-		if sizes > 0 {
-			return work / p.span / sizes * cmp.Or(w.Weight, 1)
+	work, might := 0.0, 0.0
+	for _, o := range p.fleet {
+		if o.State == Ready && p.capacity(o) >= 1 {
+			work, might = work+o.served, might+p.might(o)
 		}
 	}
-	return w.taken
+	if might == 0 {
+		return w.taken
+	}
+	return work / p.span / might * p.might(w)
+}
+
+// might is what w can do beside others, if warm: its size, to a power that is learned of the runs at large
+// and small workers, since larger ones are often faster as well.
+func (p *Policy) might(w *worker) float64 {
+	return math.Pow(cmp.Or(w.Weight, 1), 1+sane(p.speed.ny/(p.speed.nn+speedPrior), 0, 2))
 }
 
 // capacity is the least share of its full capacity that w has now.
@@ -369,11 +367,13 @@
 			w.slope, w.delay = fit{}, drift{}
 			clear(w.fails)
 		}
+		e.Weight = sane(e.Weight, 0, 1e9) // 0: not told
 		w.WorkerEntry = e
-		w.size = math.Pow(cmp.Or(sane(e.Weight, 0, 1e9), 1), 1-1/float64(p.cfg.Peers)) // 0: not told
 	}
-	p.ready = 0
+	p.ready, p.usual = 0, 0
 	for _, w := range p.fleet {
+		w.size = math.Pow(p.might(w), 1-1/float64(p.cfg.Peers))
+		p.usual += cmp.Or(w.Weight, 1) / float64(len(p.fleet))
 		if l.Kind != ListChanges && !named[w.Worker] {
 			w.State = Gone
 		}
@@ -410,9 +410,7 @@
 		f.loadTime = p.classes[e.Class].Aim // not told: as long as an answer may take
 	}
 	e.Left = max(e.Left, 0)
-	if e.Terms == nil {
-		e.Terms = &settingsAlone
-	}
+	e.Terms = cmp.Or(e.Terms, &settingsAlone)
 	r := &request{Arrived: e, fn: f, deadline: p.now + e.Left, pool: e.Terms.Pool}
 	p.reqs[e.Request] = r
 	if e.Tenant >= 0 && e.Tenant < len(p.tenants) { // a second's worth may be saved up, and chance
@@ -638,8 +636,7 @@
 }
 
 // mayYet tells whether waiting may help r, which no worker may take now: one that is set aside or just
-// started may take it later, or none is listed. What else would be held until its deadline is
-// ended; a pool's cap is no queue.
+// started may later, or none is listed. What else would be held is ended; a pool's cap is no queue.
 func (p *Policy) mayYet(r *request) bool {
 	return r.pool.Room() && (p.ready == 0 && p.repeatable(r, nil) ||
 		slices.ContainsFunc(p.fleet, func(w *worker) bool {
@@ -787,6 +784,10 @@
 		}
 	case Unreachable:
 		p.strike(w)
+	case Cancelled, TimedOut: // it would have taken longer still
+		if over := float64(e.Took) - p.run(r); !a.cold && over > w.delay.now(p.now) {
+			w.delay.see(p.now, min(over, clip*float64(p.classes[r.Class].Aim)))
+		}
 	}
 	if e.Closed {
 		p.close(r)
@@ -841,14 +842,15 @@
 		c.took += min(net, clip*base) - c.took/runMemory
 		c.hinted += min(float64(r.Work), float64(time.Hour)) - c.hinted/runMemory
 	}
+	x := math.Log(cmp.Or(w.Weight, 1) / p.usual)
+	p.speed.nn, p.speed.ny = speedKeep*p.speed.nn+x*x, speedKeep*p.speed.ny+x*(1-min(net/c.run, clip))
 	f.n, c.n = min(f.n+1, runMemory), min(c.n+1, runMemory)
 	f.run += (min(net, clip*f.run) - f.run) / f.n
 	c.run += (min(net, clip*c.run) - c.run) / c.n
 }
 
-// jam has f keep further homes, whatever crowds the one it was at: lanes, cores, memory, a slow machine.
-// Homes rank alike at all dispatchers, so what jams for one jams for all. In overload all homes jam and f
-// spreads over the fleet, at a load for each new home; good answers take that back.
+// jam has f keep further homes, whatever crowds the one it was at. Homes rank alike at all dispatchers, so
+// what jams for one does for all. In overload f spreads over the fleet; good answers take that back.
 func (p *Policy) jam(f *function) { f.jams = min(f.jams+1, float64(p.ready)) }
 
 // queued is how many requests wait at a worker by its report; below 0 where that doesn't tell.
@@ -891,9 +893,7 @@
 	}
 }
 
-func (p *Policy) alive(w *worker) {
-	w.heard, w.strikes, w.aside = p.now, 0, 0
-}
+func (p *Policy) alive(w *worker) { w.heard, w.strikes, w.aside = p.now, 0, 0 }
 
 // strike sets w aside after a sign of trouble, for longer each time.
 func (p *Policy) strike(w *worker) {
@@ -1018,7 +1018,7 @@
 		return gone
 	})
 	for _, w := range p.fleet {
-		if p.capacity(w) < 1 {
+		if w.size = math.Pow(p.might(w), 1-1/float64(p.cfg.Peers)); p.capacity(w) < 1 {
 			w.taken = p.taken(w)
 		}
 		for id, i := range w.copies {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"cmp"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -522,6 +523,79 @@
 	return b.toFirst - before
 }
 
+// A call that is called off at its deadline has shown how slow its worker is, though no answer did: a dispatcher that
+// forgets that sends the next one there too, and loses it as well.
+func TestCallsCalledOffCountAsDelay(t *testing.T) {
+	b := newBed(t, config(), 2)
+	b.serve(7, 100*ms, WasWarm)
+	for range 30 {
+		b.serve(7, 100*ms, WasWarm)
+	}
+	for _, w := range b.p.fleet { // both hold a copy
+		b.p.instance(w, 7).warmUntil = b.now + time.Hour
+	}
+	slow, lost := WorkerID(1), 0
+	for range 20 {
+		id, acts := b.arrive(0, 7)
+		s, ok := first[Send](acts)
+		switch {
+		case !ok:
+		case s.Worker == slow:
+			lost++
+			b.pass(4 * time.Second)
+			b.do(TimerFired{Token: doneToken + uint64(id)})
+			b.do(AttemptEnded{Request: id, Worker: slow, Outcome: Cancelled, Closed: true, Took: 4 * time.Second})
+		default:
+			b.pass(100 * ms)
+			b.do(AttemptEnded{Request: id, Worker: s.Worker, Outcome: Served, Note: WasWarm, Closed: true, Took: 100 * ms})
+		}
+	}
+	if lost < 1 || lost > 3 {
+		t.Errorf("%d of 20 calls lost at a worker whose calls don't end", lost)
+	}
+}
+
+// Of many dispatchers each sees a worker seldom, but of all workers of a size enough: where larger ones run calls
+// faster too, they are home to more functions than their sizes say, by most of that.
+func TestHomesFollowTheSpeedsOfSizes(t *testing.T) {
+	cfg := config()
+	cfg.Peers = 80
+	for _, faster := range []float64{1, 1.6} { // workers of size 3 against those of size 2
+		var ratios []float64
+		for seed := range uint64(20) {
+			b := newBed(t, cfg, 0)
+			b.p.rng = rand.New(rand.NewPCG(seed, 7))
+			var l WorkerList
+			for w := range 20 {
+				l.Workers = append(l.Workers, WorkerEntry{Worker: WorkerID(w + 1), State: Ready, Weight: float64(2 + w%2)})
+			}
+			b.do(l)
+			for range 150 {
+				id, acts := b.arrive(0, FunctionID(b.p.rng.IntN(60)))
+				s, _ := first[Send](acts)
+				took := 60 * ms * time.Duration(1000*b.p.rng.ExpFloat64()) / 1000
+				if s.Worker%2 == 0 {
+					took = time.Duration(float64(took) / faster)
+				}
+				b.pass(100 * ms)
+				b.do(AttemptEnded{Request: id, Worker: s.Worker, Outcome: Served, Note: WasWarm, Closed: true, Took: took})
+			}
+			homes := map[float64]float64{}
+			for f := range FunctionID(3000) {
+				at := slices.MaxFunc(b.p.fleet, func(x, y *worker) int {
+					return cmp.Compare(home(f, x.Worker, x.size), home(f, y.Worker, y.size))
+				})
+				homes[at.Weight]++
+			}
+			ratios = append(ratios, homes[3]/homes[2])
+		}
+		slices.Sort(ratios)
+		if want, got := 1.5*faster, ratios[len(ratios)/2]; got < 0.75*want || got > 1.2*want {
+			t.Errorf("%v times as fast: large workers are home to %.2f times as many functions, wanted %.2f; %.2f", faster, got, want, ratios)
+		}
+	}
+}
+
 // Messages must cost the same a call whether few or many dispatchers carry the traffic; no probe goes out unasked for.
 func TestExtrasCostTheSameACallAtAnySize(t *testing.T) {
 	perCall := func(peers, calls int) (probes, receivers float64) {
