Count a call called off as delay where nothing was learned of its worker's since

Change: it counts where no answer to a call told of the worker's delay since (drift.at), which is what it stands for.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -785,7 +785,7 @@
 	case Unreachable:
 		p.strike(w)
 	case Cancelled, TimedOut: // it would have taken longer still; where others were answered, they tell
-		if over := float64(e.Took) - p.run(r); !a.cold && w.heard < a.sent && over > w.delay.now(p.now) {
+		if over := float64(e.Took) - p.run(r); !a.cold && w.delay.at < a.sent && over > w.delay.now(p.now) {
 			w.delay.see(p.now, min(over, clip*float64(p.classes[r.Class].Aim)))
 		}
 	}
