Weigh warm workers once a second for all cold ones, not once for each of them

Seen on reading the change again: policy.taken went over all workers for each cold one, with two powers a step, and the size for ranks of homes was worked out in two places.

Change: weigh does both in one pass, at each list and once a second; what a cold worker may take is shared by all of them and its own might. A worker that is new in a list has its rate at once, in place of up to a second later.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -67,6 +67,7 @@
 	usual      float64 // size of a worker
 	standing   float64 // delay that three of four warm answers exceed
 	loadRatio  float64 // real load time over the told one
+	taken      float64 // work that warm workers take in a second, by their might
 	rate, span float64 // work served to us of late and the seconds that it took, decaying over rateSpan
 
 	lastTrial, lastSweep time.Duration
@@ -105,8 +106,8 @@
 
 type worker struct {
 	WorkerEntry
-	room, taken          float64    // while cold: work that may go there now; what it takes in 1 s when warm
-	size, served         float64    // its weight in the ranks of homes; work served to us of late
+	room, served         float64    // while cold: work that may go there now; work served to us of late
+	might, size          float64    // what it can do beside the others, and as much of it as ranks homes
 	out                  []*attempt // in the order of their sends
 	slope                fit
 	fails                []drift // by class, whether calls go unserved there
@@ -313,24 +314,21 @@
 // start owes a part of a call, by chance, so that many that send little take turns; one may be saved up.
 func (p *Policy) coldRoom(w *worker) bool { return w.room > 0 || p.capacity(w) >= 1 }
 
-// taken is what w would be seen to take when warm, as those that are do; where none is, what was seen last.
-func (p *Policy) taken(w *worker) float64 {
-	work, might := 0.0, 0.0
-	for _, o := range p.fleet {
-		if o.State == Ready && p.capacity(o) >= 1 {
-			work, might = work+o.served, might+p.might(o)
+// weigh sees what workers can do beside each other, if warm: their size, to a power that is learned of the
+// runs at large and small ones, since larger ones are often faster as well. What warm ones are seen to take
+// by that is what a cold one will; where none is warm, what was seen last.
+func (p *Policy) weigh() {
+	power, work, might := 1+sane(p.speed.ny/(p.speed.nn+speedPrior), 0, 2), 0.0, 0.0
+	for _, w := range p.fleet {
+		w.might = math.Pow(cmp.Or(w.Weight, 1), power)
+		w.size = math.Pow(w.might, 1-1/float64(p.cfg.Peers))
+		if w.State == Ready && p.capacity(w) >= 1 {
+			work, might = work+w.served, might+w.might
 		}
 	}
-	if might == 0 {
-		return w.taken
+	if might > 0 && p.span > 0 {
+		p.taken = work / p.span / might
 	}
-	return work / p.span / might * p.might(w)
-}
-
-// might is what w can do beside others, if warm: its size, to a power that is learned of the runs at large
-// and small workers, since larger ones are often faster as well.
-func (p *Policy) might(w *worker) float64 {
-	return math.Pow(cmp.Or(w.Weight, 1), 1+sane(p.speed.ny/(p.speed.nn+speedPrior), 0, 2))
 }
 
 // capacity is the least share of its full capacity that w has now.
@@ -372,13 +370,13 @@
 	}
 	p.ready, p.usual = 0, 0
 	for _, w := range p.fleet {
-		w.size = math.Pow(p.might(w), 1-1/float64(p.cfg.Peers))
 		p.usual += cmp.Or(w.Weight, 1) / float64(len(p.fleet))
 		if l.Kind != ListChanges && !named[w.Worker] {
 			w.State = Gone
 		}
 		p.ready += int(w.State & Ready)
 	}
+	p.weigh()
 }
 
 func (p *Policy) instance(w *worker, f FunctionID) *instance {
@@ -984,7 +982,7 @@
 	p.rate, p.span = fade*p.rate, fade*p.span+beat.Seconds()
 	for _, w := range p.fleet {
 		w.served *= fade
-		rate := coldMargin * p.cfg.FallMultiple * p.capacity(w) * w.taken
+		rate := coldMargin * p.cfg.FallMultiple * p.capacity(w) * p.taken * w.might
 		w.room = min(w.room+rate*beat.Seconds(), max(rate*p.cfg.FallFor.Seconds()/4, p.classes[0].run))
 		if w.State == Gone || w.probing {
 			continue
@@ -1017,10 +1015,8 @@
 		}
 		return gone
 	})
+	p.weigh()
 	for _, w := range p.fleet {
-		if w.size = math.Pow(p.might(w), 1-1/float64(p.cfg.Peers)); p.capacity(w) < 1 {
-			w.taken = p.taken(w)
-		}
 		for id, i := range w.copies {
 			if i.inFlight == 0 && !i.ordered && p.now > i.warmUntil && p.now > i.loading {
 				p.believed.drop(id, w)
