Pass idempotency keys on to workers, and tenants and crowds to the module

`tenant` was not read either, so that the module counted all calls to its first tenant, nor was `crowd` of an answer.

Change: the front reads both, checks them against the settings and fails what can't be passed on unchanged, with the field's name and one log line a second; the core maps names of tenants to the module's numbers. Who names none of the settings' tenants is beyond every share. A keyed call by webhook has its key made of the webhook-id. What an attempt ended with is one value (router.Reply) in place of five. A crowd that can't be is passed over.

--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -55,11 +55,13 @@
 func (b *bench) Run(w policy.WorkerID, a router.Attempt, r *router.Request, _ time.Duration) {
 	k := [2]uint64{uint64(w), uint64(r.Function)}
 	if b.until[k] < b.now {
-		b.after(time.Millisecond, func() { b.core.AttemptEnded(a, policy.Missed, policy.NoNote, nil, nil) })
+		b.after(time.Millisecond, func() { b.core.AttemptEnded(a, router.Reply{Outcome: policy.Missed}) })
 		return
 	}
 	b.until[k] = b.now + 10*time.Second
-	b.after(80*time.Millisecond, func() { b.core.AttemptEnded(a, policy.Served, policy.WasWarm, nil, []float64{1}) })
+	b.after(80*time.Millisecond, func() {
+		b.core.AttemptEnded(a, router.Reply{Outcome: policy.Served, Note: policy.WasWarm, Report: []float64{1}})
+	})
 }
 func (b *bench) Stop(policy.WorkerID, router.Attempt) {}
 func (b *bench) Hold(w policy.WorkerID, f policy.FunctionID, _ int, tag uint64) {
--- a/internal/platform/config.go
+++ b/internal/platform/config.go
@@ -44,6 +44,9 @@
 	Classes        []struct {
 		Name string `json:"name"`
 	} `json:"classes"`
+	Accounts []struct {
+		Name string `json:"name"`
+	} `json:"accounts"`
 	Specifics struct {
 		MemoryMbByKind []float64 `json:"memoryMbByKind"`
 	} `json:"specifics"`
@@ -95,6 +98,11 @@
 			return nil, fmt.Errorf("config %s: class %d has no name", path, i)
 		}
 	}
+	for i, a := range n.Accounts {
+		if a.Name == "" {
+			return nil, fmt.Errorf("config %s: account %d has no name", path, i)
+		}
+	}
 	orDefault(&n.Limits.DialTimeoutMs, 250)
 	orDefault(&n.Limits.KeepaliveMs, 30000)
 	orDefault(&n.Limits.MaxOpen, 20000)
@@ -169,6 +177,14 @@
 	return names
 }
 
+// TenantNames returns the names of the tenants, in the order in which requests count them.
+func (c *Config) TenantNames() (names []string) {
+	for _, a := range c.Network.Accounts {
+		names = append(names, a.Name)
+	}
+	return names
+}
+
 // Once tells of each class whether it must never run twice.
 func (c *Config) Once() (once []bool) {
 	for _, k := range c.Module.Classes {
--- /dev/null
+++ b/internal/resp/fields_test.go
@@ -0,0 +1,47 @@
+package resp
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"crankhold/internal/router"
+	"crankhold/policy"
+)
+
+// The idempotency key goes to the worker as it came, and no field of that name where there is none.
+func TestIdempotencyKeysGoToTheWorker(t *testing.T) {
+	for _, once := range []string{"", "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"} {
+		p, _, lines := newPool()
+		r := request("0123456789abcdef")
+		r.Once = once
+		p.Run(1, router.Attempt{Request: 1}, r, time.Second)
+		(*lines)[0].h.Opened(nil)
+		got := (*lines)[0].Wrote.String()
+		if strings.Contains(got, ",uniq="+once+"\r\n") != (once != "") || strings.Contains(got, "uniq") != (once != "") {
+			t.Errorf("key %q: wrote %q", once, got)
+		}
+	}
+}
+
+// A crowd is read from whatever answer holds it. One that can't be true is passed over: the answer, which is good,
+// ends its call, and the connection goes on.
+func TestCrowdsAreReadOrPassedOver(t *testing.T) {
+	for fields, want := range map[string]int{
+		"detail=hot,crowd=3": 3, "crowd=0": 0, "-": 0, "detail=hot": 0, "crowd=1048576": 1 << 20,
+		"crowd=-1": 0, "crowd=": 0, "crowd=many": 0, "crowd=1.5": 0, "crowd=99999999999999999999": 0, "crowd=1048577": 0,
+	} {
+		for word, o := range map[string]policy.Outcome{"HIT": policy.Served, "SHED": policy.Full} {
+			p, s, lines := newPool()
+			a := router.Attempt{Request: 1}
+			p.Run(1, a, request("0123456789abcdef"), time.Second)
+			l := (*lines)[0]
+			l.h.Opened(nil)
+			l.h.Data(fmt.Appendf(nil, "*4\r\n$16\r\n0123456789abcdef\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$0\r\n\r\n", len(word), word, len(fields), fields))
+			if len(s.ended[a]) != 1 || s.ended[a][0] != o || s.reply[a].Crowd != want || l.HasClosed {
+				t.Errorf("%s %s: ended %v with %+v, closed %v", word, fields, s.ended[a], s.reply[a], l.HasClosed)
+			}
+		}
+	}
+}
--- a/internal/resp/model_test.go
+++ b/internal/resp/model_test.go
@@ -109,9 +109,9 @@
 func (m *model) log(format string, args ...any) { fmt.Fprintf(&m.history, format+";", args...) }
 
 // AttemptEnded, HoldEnded and Probed hand on to the core.
-func (m *model) AttemptEnded(a router.Attempt, o policy.Outcome, n policy.Note, body []byte, report []float64) {
-	m.log("a%d.%d=%d", a.Request, a.Number, o)
-	m.core.AttemptEnded(a, o, n, body, report)
+func (m *model) AttemptEnded(a router.Attempt, r router.Reply) {
+	m.log("a%d.%d=%d", a.Request, a.Number, r.Outcome)
+	m.core.AttemptEnded(a, r)
 }
 func (m *model) HoldEnded(tag uint64, o policy.Outcome, count int) {
 	m.log("h%d=%d", tag, o)
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -43,7 +43,7 @@
 
 // Sink takes what came of calls, orders and probes; a router.Core is one.
 type Sink interface {
-	AttemptEnded(a router.Attempt, o policy.Outcome, n policy.Note, body []byte, report []float64)
+	AttemptEnded(a router.Attempt, r router.Reply)
 	HoldEnded(tag uint64, o policy.Outcome, count int)
 	Probed(tag uint64, o policy.Outcome, report []float64)
 }
@@ -81,6 +81,8 @@
 	pings   uint64
 	silence silence
 	dials   int // under way
+	odd     int // fields of answers that were passed over since the log told
+	oddTold time.Duration
 	Count   Counters
 }
 
@@ -212,8 +214,11 @@
 // Run sends a call.
 func (p *Pool) Run(id policy.WorkerID, a router.Attempt, r *router.Request, budget time.Duration) {
 	k := &call{kind: run, attempt: a, token: r.ID, body: r.Body, left: budget}
-	k.head = frame(len(r.Body), "RUN", r.ID, fmt.Sprintf("queue=%s,path=%s,budget=%d",
-		p.cfg.Classes[r.Class], r.Key, max(budget.Milliseconds(), 1)))
+	fields := fmt.Sprintf("queue=%s,path=%s,budget=%d", p.cfg.Classes[r.Class], r.Key, max(budget.Milliseconds(), 1))
+	if r.Once != "" {
+		fields += ",uniq=" + r.Once
+	}
+	k.head = frame(len(r.Body), "RUN", r.ID, fields)
 	if w := p.workers[id]; w != nil && w.ready {
 		if c := p.pick(w, k); c != nil {
 			p.calls[a] = k
@@ -221,7 +226,7 @@
 			return
 		}
 	}
-	p.sink.AttemptEnded(a, policy.Unreachable, policy.NoNote, nil, nil)
+	p.sink.AttemptEnded(a, router.Reply{Outcome: policy.Unreachable})
 }
 
 // Stop gives a call up. Its connection does not carry its id again: an answer on its way must not end
@@ -542,7 +547,7 @@
 	switch k.kind {
 	case run:
 		delete(p.calls, k.attempt)
-		p.sink.AttemptEnded(k.attempt, o, policy.NoNote, nil, nil)
+		p.sink.AttemptEnded(k.attempt, router.Reply{Outcome: o})
 	case hold:
 		p.sink.HoldEnded(k.tag, o, 0)
 	case probe:
@@ -697,7 +702,8 @@
 		c.pool.sink.Probed(k.tag, o, report)
 	default:
 		delete(c.pool.calls, k.attempt)
-		c.pool.sink.AttemptEnded(k.attempt, o, notes[string(field(fields, "detail"))], bytes.Clone(body), report)
+		c.pool.sink.AttemptEnded(k.attempt, router.Reply{Outcome: o, Note: notes[string(field(fields, "detail"))],
+			Crowd: c.crowd(field(fields, "crowd")), Body: bytes.Clone(body), Report: report})
 	}
 	return nil
 }
@@ -712,6 +718,32 @@
 	"hot": policy.WasWarm, "started": policy.BeganLoad, "waited": policy.AwaitedOne, "broken": policy.LoadFailed,
 }
 
+// mostCrowd bounds what a crowd may say: no worker's queue holds so many.
+const mostCrowd = 1 << 20
+
+// crowd reads how many calls of the function the worker held; absent is none. One that can't be is passed over: the
+// answer is good all the same.
+func (c *conn) crowd(text []byte) int {
+	if len(text) == 0 {
+		return 0
+	}
+	n, err := strconv.Atoi(string(text))
+	if err != nil || n < 0 || n > mostCrowd {
+		c.odd("crowd", text)
+		return 0
+	}
+	return n
+}
+
+// odd logs a field of an answer that is passed over, at most once a second: a worker could fill the log otherwise.
+func (c *conn) odd(name string, text []byte) {
+	p := c.pool
+	if p.odd++; p.oddTold == 0 || p.now-p.oddTold > time.Second {
+		slog.Warn("answer_field_unread", "addr", c.addr, "field", name, "value", string(text[:min(len(text), 32)]), "count", p.odd)
+		p.odd, p.oddTold = 0, p.now
+	}
+}
+
 // report reads a load report, name:value;name:value, in the settings' order. One that lacks a
 // field tells nothing.
 func (p *Pool) report(text []byte) []float64 {
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -26,12 +26,12 @@
 type sink struct {
 	ended map[router.Attempt][]policy.Outcome
 	asked map[uint64][]policy.Outcome
-	body  map[router.Attempt]string
+	reply map[router.Attempt]router.Reply
 }
 
-func (s *sink) AttemptEnded(a router.Attempt, o policy.Outcome, _ policy.Note, body []byte, _ []float64) {
-	s.ended[a] = append(s.ended[a], o)
-	s.body[a] = string(body)
+func (s *sink) AttemptEnded(a router.Attempt, r router.Reply) {
+	s.ended[a] = append(s.ended[a], r.Outcome)
+	s.reply[a] = r
 }
 func (s *sink) HoldEnded(tag uint64, o policy.Outcome, _ int) { s.asked[tag] = append(s.asked[tag], o) }
 func (s *sink) Probed(tag uint64, o policy.Outcome, _ []float64) {
@@ -39,7 +39,7 @@
 }
 
 func newPool() (*Pool, *sink, *[]*line) {
-	s := &sink{map[router.Attempt][]policy.Outcome{}, map[uint64][]policy.Outcome{}, map[router.Attempt]string{}}
+	s := &sink{map[router.Attempt][]policy.Outcome{}, map[uint64][]policy.Outcome{}, map[router.Attempt]router.Reply{}}
 	var lines []*line
 	p := New(Config{Classes: []string{"dim-level"}, ReportFields: []string{"inflight"}, DialTimeout: time.Second,
 		KeepAlive: 30 * time.Second, PerConn: 2, MaxConns: 100, Dial: func(_, _ string, _ time.Duration, h loop.Dialled) Line {
@@ -75,8 +75,8 @@
 			l.h.Data([]byte(text[:n]))
 			text = text[n:]
 		}
-		if len(s.ended[a]) != 1 || s.ended[a][0] != policy.Served || s.body[a] != body || l.HasClosed {
-			t.Fatalf("ended %v with %q, closed %v", s.ended[a], s.body[a], l.HasClosed)
+		if len(s.ended[a]) != 1 || s.ended[a][0] != policy.Served || string(s.reply[a].Body) != body || l.HasClosed {
+			t.Fatalf("ended %v with %q, closed %v", s.ended[a], s.reply[a].Body, l.HasClosed)
 		}
 	})
 }
@@ -151,7 +151,7 @@
 						l.h.Data([]byte("*4\r\n$16\r\n" + id(b) + "\r\n$3\r\nHIT\r\n$1\r\n-\r\n$3\r\nold\r\n"))
 					}
 				}
-				if s.body[b] == "old" {
+				if string(s.reply[b].Body) == "old" {
 					t.Fatal("the answer to the first attempt ended the second")
 				}
 			},
@@ -261,8 +261,8 @@
 	}
 	(*lines)[1].h.Opened(nil)
 	(*lines)[1].h.Data(reply(id, "HIT", "done"))
-	if len(s.ended[second]) != 1 || s.body[second] != "done" || len(ran(*lines, id)) != 2 {
-		t.Errorf("second attempt ended %v with %q", s.ended[second], s.body[second])
+	if len(s.ended[second]) != 1 || string(s.reply[second].Body) != "done" || len(ran(*lines, id)) != 2 {
+		t.Errorf("second attempt ended %v with %q", s.ended[second], s.reply[second].Body)
 	}
 	for now := time.Duration(0); now <= 3*rememberFor; now += SweepEvery {
 		p.Sweep(now)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -65,6 +65,7 @@
 	Body     []byte
 	Deadline time.Duration // the final answer must have left by then
 	Tenant   string        // who asks, where the front can tell for sure; "" else
+	Once     string        // the client's idempotency key, passed on as it is; "" for none
 
 	Client netip.AddrPort // for the record only
 	Taken  time.Duration  // set by Take
@@ -103,6 +104,28 @@
 // Within tells whether a figure is a number from 0 to most.
 func Within(v, most float64) bool { return v >= 0 && v <= most }
 
+// MaxOnce is the longest idempotency key that is passed on; what the platform sends has 32 digits.
+const MaxOnce = 64
+
+// ParseOnce tells whether an idempotency key can be passed on: hex digits, MaxOnce at most.
+func ParseOnce(s string) bool {
+	for _, d := range []byte(s) {
+		if !(d >= '0' && d <= '9' || d >= 'a' && d <= 'f' || d >= 'A' && d <= 'F') {
+			return false
+		}
+	}
+	return len(s) > 0 && len(s) <= MaxOnce
+}
+
+// Reply is how an attempt ended and what came with that.
+type Reply struct {
+	Outcome policy.Outcome
+	Note    policy.Note
+	Crowd   int // calls of the function that the worker held
+	Body    []byte
+	Report  []float64 // in the order of the settings' fields; nil where none came
+}
+
 // Attempt names an attempt to the Workers.
 type Attempt struct {
 	Request policy.RequestID
@@ -131,6 +154,7 @@
 	MaxAttempts  int           // of a request
 	OrderTimeout time.Duration // an order with no answer by then has timed out
 	ProbeTimeout time.Duration
+	Tenants      []string // in the order in which the module counts them
 }
 
 // Core is the function router. It is not safe for concurrent use.
@@ -148,6 +172,7 @@
 	seq     uint64
 	reqs    map[policy.RequestID]*entry
 	ids     map[string]struct{} // what their clients call them
+	tenants map[string]int
 	last    policy.RequestID
 	routes  *route.Table // nil: every call may go to every worker
 	listed  []route.Worker
@@ -201,7 +226,12 @@
 
 // New returns a Core around p.
 func New(p *policy.Policy, limits Limits) *Core {
-	return &Core{policy: p, limits: limits, module: map[uint64]*timer{}, reqs: map[policy.RequestID]*entry{}, ids: map[string]struct{}{}, asked: map[uint64]*question{}}
+	c := &Core{policy: p, limits: limits, module: map[uint64]*timer{}, reqs: map[policy.RequestID]*entry{},
+		ids: map[string]struct{}{}, asked: map[uint64]*question{}, tenants: map[string]int{}}
+	for i, name := range limits.Tenants {
+		c.tenants[name] = i
+	}
+	return c
 }
 
 // Use sets the Workers; it is called once, before anything else.
@@ -271,7 +301,11 @@
 	c.ids[r.ID] = struct{}{}
 	c.open++
 	c.bytes += len(r.Body)
-	c.events = append(c.events, policy.Arrived{Request: c.last, Class: r.Class, Function: r.Function, Lanes: r.Lanes,
+	tenant, ok := c.tenants[r.Tenant]
+	if !ok {
+		tenant = policy.NoTenant
+	}
+	c.events = append(c.events, policy.Arrived{Request: c.last, Class: r.Class, Tenant: tenant, Function: r.Function, Lanes: r.Lanes,
 		MemoryMB: r.MemoryMB, LoadTime: r.LoadTime, Left: max(r.Deadline-c.now, 0), Terms: terms})
 	e.timeUp = c.after(r.Deadline, timer{kind: timeUp, request: c.last})
 	return c.last
@@ -310,12 +344,12 @@
 }
 
 // AttemptEnded says how an attempt ended. Reports of one that has ended already are ignored.
-func (c *Core) AttemptEnded(a Attempt, o policy.Outcome, n policy.Note, body []byte, report []float64) {
+func (c *Core) AttemptEnded(a Attempt, r Reply) {
 	e := c.reqs[a.Request]
 	if e == nil || a.Number >= len(e.attempts) || e.attempts[a.Number].ended {
 		return
 	}
-	t := &e.attempts[a.Number]
+	t, o := &e.attempts[a.Number], r.Outcome
 	t.ended = true
 	c.drop(t.limit)
 	e.out--
@@ -323,11 +357,11 @@
 	c.Count.Ended[o]++
 	if o == policy.Served && !e.done {
 		c.Count.Served[e.Front]++
-		e.Asker.Answered(Answer{Verdict: Served, Body: body, MayHaveRun: true})
+		e.Asker.Answered(Answer{Verdict: Served, Body: r.Body, MayHaveRun: true})
 		c.close(a.Request, e, "served")
 	}
 	c.events = append(c.events, policy.AttemptEnded{Request: a.Request, Attempt: a.Number, Worker: t.worker, Outcome: o,
-		Note: n, Closed: e.done, Took: c.now - t.sent, Report: report})
+		Note: r.Note, Crowd: r.Crowd, Closed: e.done, Took: c.now - t.sent, Report: r.Report})
 	c.release(a.Request, e)
 }
 
@@ -436,7 +470,7 @@
 		left = min(left, a.Limit)
 	}
 	if e.done || left <= 0 || c.limits.MaxAttempts > 0 && n >= c.limits.MaxAttempts {
-		c.AttemptEnded(id, policy.Moot, policy.NoNote, nil, nil)
+		c.AttemptEnded(id, Reply{Outcome: policy.Moot})
 		return
 	}
 	if a.Limit > 0 && left == a.Limit { // else the request's own timer does it
@@ -450,7 +484,7 @@
 func (c *Core) cancel(a Attempt, o policy.Outcome) {
 	if e := c.reqs[a.Request]; e != nil && a.Number < len(e.attempts) && !e.attempts[a.Number].ended {
 		c.workers.Stop(e.attempts[a.Number].worker, a)
-		c.AttemptEnded(a, o, policy.NoNote, nil, nil)
+		c.AttemptEnded(a, Reply{Outcome: o})
 	}
 }
 
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -108,8 +108,8 @@
 			if m := models[a.Request]; m != nil && !o.NeverRan() {
 				m.mayRun, m.sends = true, len(w.runs[a.Request])
 			}
-			c.AttemptEnded(a, o, policy.NoNote, []byte("done"), nil)
-			c.AttemptEnded(a, policy.Served, policy.NoNote, []byte("again"), nil) // a second report changes nothing
+			c.AttemptEnded(a, Reply{Outcome: o, Body: []byte("done")})
+			c.AttemptEnded(a, Reply{Outcome: policy.Served, Body: []byte("again")}) // a second report changes nothing
 		}
 		list()
 		t.Repeat(map[string]func(*rapid.T){
@@ -201,7 +201,7 @@
 		if len(w.runs[id]) != 1 {
 			t.Fatal("the order was not sent")
 		}
-		c.AttemptEnded(w.runs[id][0], o, policy.NoNote, nil, nil)
+		c.AttemptEnded(w.runs[id][0], Reply{Outcome: o})
 		c.Turn(time.Hour + ms)
 		if len(w.runs[id]) != 1 || len(k.answers) != 1 || k.answers[0].Verdict != Failed {
 			t.Errorf("outcome %d: %d sends, answers %+v", o, len(w.runs[id]), k.answers)
@@ -231,7 +231,7 @@
 	id := c.Take(time.Hour, Request{Asker: k, Class: 0, Function: 7, Deadline: time.Hour + 2*time.Second})
 	c.Turn(time.Hour)
 	c.Leave(time.Hour+ms, id)
-	c.AttemptEnded(w.runs[id][0], policy.Served, policy.WasWarm, nil, nil)
+	c.AttemptEnded(w.runs[id][0], Reply{Outcome: policy.Served, Note: policy.WasWarm})
 	c.Turn(time.Hour + ms)
 	if len(k.answers) != 0 || c.Count.Left[Thrift] != 1 || c.Count.Served[Thrift] != 0 || len(c.reqs) != 0 {
 		t.Errorf("answers %v, counters %+v, %d requests kept", k.answers, c.Count, len(c.reqs))
@@ -298,7 +298,7 @@
 			t.Fatalf("request %d has answers %+v, %d open", id, other.answers, c.Open())
 		}
 	}
-	c.AttemptEnded(w.runs[first][0], policy.Served, policy.WasWarm, []byte("done"), nil)
+	c.AttemptEnded(w.runs[first][0], Reply{Outcome: policy.Served, Note: policy.WasWarm, Body: []byte("done")})
 	c.Turn(time.Hour + ms)
 	if len(k.answers) != 1 || string(k.answers[0].Body) != "done" || len(w.runs) != 1 || len(c.ids)+len(c.reqs) != 0 {
 		t.Fatalf("answers %+v, %d requests sent, %d ids kept", k.answers, len(w.runs), len(c.ids))
--- a/internal/router/routes_test.go
+++ b/internal/router/routes_test.go
@@ -88,7 +88,7 @@
 	if n := next.Pools()[0].InFlight(); n != 2 {
 		t.Errorf("%d in flight go on, want 2", n)
 	}
-	c.AttemptEnded(w.runs[first][0], policy.Served, policy.WasWarm, []byte("x"), nil)
+	c.AttemptEnded(w.runs[first][0], Reply{Outcome: policy.Served, Note: policy.WasWarm, Body: []byte("x")})
 	c.Turn(time.Hour)
 	if len(k.answers) != 1 || k.answers[0].Verdict != Served || next.Pools()[0].InFlight() != 1 {
 		t.Errorf("answers %+v, %d in flight", k.answers, next.Pools()[0].InFlight())
--- a/internal/router/timers_test.go
+++ b/internal/router/timers_test.go
@@ -21,13 +21,13 @@
 		id := c.Take(now, Request{Asker: k, ID: fmt.Sprint(i), Function: 7, Deadline: now + 10*time.Minute})
 		c.Turn(now)
 		if i%2 == 0 {
-			c.AttemptEnded(w.runs[id][0], policy.Served, policy.WasWarm, nil, nil)
+			c.AttemptEnded(w.runs[id][0], Reply{Outcome: policy.Served, Note: policy.WasWarm})
 		} else {
 			c.Leave(now, id)
 		}
 		c.Turn(now)
 		for a := range w.out {
-			c.AttemptEnded(a, policy.Cancelled, policy.NoNote, nil, nil)
+			c.AttemptEnded(a, Reply{Outcome: policy.Cancelled})
 			delete(w.out, a)
 		}
 		for tag := range w.asks {
--- a/internal/service/hooks.go
+++ b/internal/service/hooks.go
@@ -65,7 +65,7 @@
 	if cfg.Receiver.Enabled {
 		var classes []webhook.Class
 		for i, k := range c.Module.Classes {
-			classes = append(classes, webhook.Class{Name: c.Network.Classes[i].Name, Once: k.Repeat != policy.Safe, Longest: k.Deadline})
+			classes = append(classes, webhook.Class{Name: c.Network.Classes[i].Name, Once: k.Repeat != policy.Safe, Keyed: k.Repeat == policy.Keyed, Longest: k.Deadline})
 		}
 		if h.receiver, err = webhook.NewReceiver(cfg, core, classes, c.Share(16<<20), lp.Now, time.Now, lp.Post); err != nil {
 			return err
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -62,17 +62,18 @@
 	if err != nil {
 		return err
 	}
-	var classes []string
 	wanted := time.Duration(0)
-	for i, k := range c.Network.Classes {
-		classes = append(classes, k.Name)
-		wanted = max(wanted, c.Module.Classes[i].Aim)
+	calls := thrift.Config{Tenants: c.TenantNames()}
+	for i, k := range c.Module.Classes {
+		wanted = max(wanted, k.Aim)
+		calls.Classes = append(calls.Classes, thrift.Class{Name: c.Network.Classes[i].Name, Keyed: k.Repeat == policy.Keyed})
 	}
 	lp := loop.New(loop.Config{MaxAccepted: c.ClientConns(), MaxFiles: c.Limits.Sockets,
 		MaxQueued: c.Share(8 << 20), MaxUnread: c.Share(32 << 20)})
 	core := router.New(module, router.Limits{MaxOpen: c.MaxOpen(), MaxBytes: c.Share(24 << 20), RetryAfter: c.TurnedAway(),
-		MaxAttempts: c.Module.MaxAttempts, OrderTimeout: c.Module.OrderTimeout, ProbeTimeout: probeTimeout})
-	pool := resp.New(resp.Config{Classes: classes, ReportFields: c.Module.ReportFields,
+		MaxAttempts: c.Module.MaxAttempts, OrderTimeout: c.Module.OrderTimeout, ProbeTimeout: probeTimeout,
+		Tenants: c.TenantNames()})
+	pool := resp.New(resp.Config{Classes: c.ClassNames(), ReportFields: c.Module.ReportFields,
 		DialTimeout: platform.Millis(c.Network.Limits.DialTimeoutMs), KeepAlive: platform.Millis(c.Network.Limits.KeepaliveMs),
 		Wanted: wanted, PerConn: c.Network.Limits.StreamsPerConn, MaxConns: c.WorkerConns(),
 		Seed: c.Random, Dial: func(network, addr string, timeout time.Duration, h loop.Dialled) resp.Line {
@@ -105,7 +106,7 @@
 	}
 	stopping := time.Duration(0)
 	// Good once there is a worker to send to, and no longer once we stop.
-	front := thrift.New(core, classes, lp.Now, func() bool { return names.Size() > 0 && stopping == 0 })
+	front := thrift.New(core, calls, lp.Now, func() bool { return names.Size() > 0 && stopping == 0 })
 	lp.Listen(c.Listen, front.Accept)
 	if err := lp.Start(); err != nil {
 		return err
--- a/internal/thrift/front.go
+++ b/internal/thrift/front.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"math"
 	"net/netip"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
@@ -36,18 +37,47 @@
 // Front serves Thrift clients.
 type Front struct {
 	core    Core
+	cfg     Config
 	classes map[string]int
 	clock   func() time.Duration
 	ready   func() bool
-	closed  int // for breaking the protocol, since the log last told
-	told    time.Duration
+	closed  sums // for breaking the protocol
+	unread  sums // calls with a field that can't be used
 }
 
-// New returns a Front for classes of these names. Ready tells what check answers.
-func New(core Core, classes []string, clock func() time.Duration, ready func() bool) *Front {
-	f := &Front{core: core, classes: map[string]int{}, clock: clock, ready: ready}
-	for i, name := range classes {
-		f.classes[name] = i
+// Class is a class of calls.
+type Class struct {
+	Name  string
+	Keyed bool // a call names an idempotency key, by which workers drop its repeats
+}
+
+// Config is what the settings say of calls.
+type Config struct {
+	Classes []Class
+	Tenants []string // none: who asks is not told apart
+}
+
+// sums counts what is logged at most once a second: whoever can connect could fill the log otherwise.
+type sums struct {
+	count int
+	told  time.Duration
+}
+
+// add counts one more and returns how many there were since the log last told, or 0 where it is not to tell yet.
+func (s *sums) add(now time.Duration) int {
+	if s.count++; s.told > 0 && now-s.told <= time.Second {
+		return 0
+	}
+	n := s.count
+	s.count, s.told = 0, now
+	return n
+}
+
+// New returns a Front. Ready tells what check answers.
+func New(core Core, cfg Config, clock func() time.Duration, ready func() bool) *Front {
+	f := &Front{core: core, cfg: cfg, classes: map[string]int{}, clock: clock, ready: ready}
+	for i, k := range cfg.Classes {
+		f.classes[k.Name] = i
 	}
 	return f
 }
@@ -120,10 +150,8 @@
 // reject closes the connection of a client that broke the protocol.
 func (c *client) reject(err error) {
 	f := c.front
-	f.closed++
-	if now := f.clock(); now-f.told > time.Second { // not once for each: whoever can connect could fill the log
-		slog.Warn("clients_closed", "front", "thrift", "count", f.closed, "err", err)
-		f.closed, f.told = 0, now
+	if n := f.closed.add(f.clock()); n > 0 {
+		slog.Warn("clients_closed", "front", "thrift", "count", n, "err", err)
 	}
 	c.line.Close()
 	c.leave()
@@ -209,6 +237,10 @@
 	c.last = m.seq
 	req, reason := c.front.request(fields)
 	if reason != "" {
+		if n := c.front.unread.add(c.front.clock()); n > 0 {
+			v := fields[reason]
+			slog.Warn("call_field_unread", "front", "thrift", "field", reason, "value", string(v[:min(len(v), 64)]), "count", n)
+		}
 		c.line.Write(lost(m.seq, "reason", reason))
 		return nil
 	}
@@ -241,6 +273,15 @@
 		return r, "key"
 	}
 	r.Function = policy.FunctionID(key)
+	if r.Once = string(fields["once"]); r.Once == "" && f.cfg.Classes[class].Keyed || r.Once != "" && !router.ParseOnce(r.Once) {
+		// Without a key no worker can drop a repeat, and a call is not passed on otherwise than it came.
+		return r, "once"
+	}
+	if name, told := fields["tenant"]; told && len(f.cfg.Tenants) > 0 {
+		if r.Tenant = string(name); !slices.Contains(f.cfg.Tenants, r.Tenant) {
+			return r, "tenant"
+		}
+	}
 	wait, err := strconv.ParseFloat(string(fields["wait"]), 64)
 	if err != nil || !router.Within(wait, router.MaxWaitMs) {
 		return r, "wait"
--- a/internal/thrift/thrift_test.go
+++ b/internal/thrift/thrift_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/binary"
 	"net/netip"
+	"strings"
 	"testing"
 	"time"
 
@@ -33,7 +34,7 @@
 
 func newClient() (*client, *core, *standin.Line) {
 	c, l := &core{}, &standin.Line{}
-	f := New(c, []string{"dim-level", "repair-order"}, func() time.Duration { return time.Hour }, func() bool { return true })
+	f := New(c, Config{Classes: []Class{{Name: "dim-level"}, {Name: "repair-order"}, {Name: "extend", Keyed: true}}, Tenants: []string{"east", "west"}}, func() time.Duration { return time.Hour }, func() bool { return true })
 	return f.serve(l, netip.AddrPort{}), c, l
 }
 
@@ -266,3 +267,62 @@
 		t.Error("the body points into the read")
 	}
 }
+
+// A keyed call's idempotency key and tenant reach the core as they came. What can't be passed on unchanged is failed,
+// never served as something else; what no class needs may be absent.
+func TestKeysAndTenantsAreTakenOrFailed(t *testing.T) {
+	const once = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+	for _, tt := range []struct {
+		class, once, tenant string // "-": absent
+		fails               string // by this field
+	}{
+		{"extend", once, "west", ""},
+		{"extend", "A", "east", ""},
+		{"extend", once, "-", ""},
+		{"extend", "-", "west", "once"},
+		{"extend", "", "west", "once"},
+		{"extend", "5c0f,path=0", "west", "once"},
+		{"extend", strings.Repeat("5", router.MaxOnce+1), "west", "once"},
+		{"dim-level", once, "west", ""},
+		{"dim-level", "-", "west", ""},
+		{"dim-level", "x", "west", "once"},
+		{"dim-level", "-", "north", "tenant"},
+		{"dim-level", "-", "", "tenant"},
+	} {
+		c, k, l := newClient()
+		fields := append([]string{"later", "is ignored"}, good...)
+		fields[3] = tt.class
+		if tt.once != "-" {
+			fields = append(fields, "once", tt.once)
+		}
+		if tt.tenant != "-" {
+			fields = append(fields, "tenant", tt.tenant)
+		}
+		c.Data(execute(1, "body", fields...))
+		if tt.fails != "" {
+			if text := l.Wrote.String(); len(k.taken) != 0 || !strings.Contains(text, tt.fails) {
+				t.Errorf("%+v: %d taken, answered %q", tt, len(k.taken), text)
+			} else if _, field := outcome(t, l); field != 2 {
+				t.Errorf("%+v: the answer has field %d", tt, field)
+			}
+			continue
+		}
+		if len(k.taken) != 1 {
+			t.Errorf("%+v: not taken, answered %q", tt, l.Wrote.String())
+			continue
+		}
+		if r := k.taken[0]; r.Once != strings.ReplaceAll(tt.once, "-", "") || r.Tenant != strings.ReplaceAll(tt.tenant, "-", "") {
+			t.Errorf("%+v: taken as %+v", tt, r)
+		}
+	}
+}
+
+// Where the settings know no tenants, a client that names one is served as before.
+func TestTenantsThatNoSettingsKnowAreIgnored(t *testing.T) {
+	k, l := &core{}, &standin.Line{}
+	f := New(k, Config{Classes: []Class{{Name: "repair-order"}}}, func() time.Duration { return time.Hour }, func() bool { return true })
+	f.serve(l, netip.AddrPort{}).Data(execute(1, "", append([]string{"tenant", "anyone"}, good...)...))
+	if len(k.taken) != 1 || k.taken[0].Tenant != "" {
+		t.Errorf("taken %+v, answered %q", k.taken, l.Wrote.String())
+	}
+}
--- a/internal/webhook/receiver.go
+++ b/internal/webhook/receiver.go
@@ -42,6 +42,7 @@
 type Class struct {
 	Name    string
 	Once    bool          // must never run twice: it goes through the ledger
+	Keyed   bool          // workers drop its repeats, by a key that is made of the webhook-id
 	Longest time.Duration // a call may wait
 }
 
@@ -287,7 +288,12 @@
 	}
 	req.Client, req.Ref = c.peer, id
 	o := &outcome{sum: sum, at: at, waiting: []*client{c}}
-	if k := v.list[req.Class]; k.Once {
+	k := v.list[req.Class]
+	if k.Keyed {
+		name := sha256.Sum256([]byte(id))
+		req.Once = hex.EncodeToString(name[:16])
+	}
+	if k.Once {
 		o.order = true
 		if v.ledger == nil {
 			v.Count.LedgerRefused++
--- a/internal/webhook/webhook_test.go
+++ b/internal/webhook/webhook_test.go
@@ -32,7 +32,8 @@
 	noon    = time.Date(2026, 12, 1, 12, 0, 0, 0, time.UTC)
 	secret  = bytes.Repeat([]byte("active"), 5)
 	retired = bytes.Repeat([]byte("retire"), 5)
-	classes = []Class{{Name: "dim-level", Longest: 2 * time.Second}, {Name: "repair-order", Once: true, Longest: 3 * time.Second}}
+	classes = []Class{{Name: "dim-level", Longest: 2 * time.Second}, {Name: "repair-order", Once: true, Longest: 3 * time.Second},
+		{Name: "extend", Once: true, Keyed: true, Longest: 3 * time.Second}}
 )
 
 func wall() time.Time { return noon }
@@ -389,7 +390,7 @@
 	if strings.HasSuffix(body, "7") {
 		o = policy.Reset // it may have run
 	}
-	p.core.AttemptEnded(a, o, policy.WasWarm, []byte("done "+body), nil)
+	p.core.AttemptEnded(a, router.Reply{Outcome: o, Note: policy.WasWarm, Body: []byte("done " + body)})
 }
 func (p *plant) Stop(policy.WorkerID, router.Attempt) {}
 func (p *plant) Hold(_ policy.WorkerID, _ policy.FunctionID, _ int, tag uint64) {
@@ -674,3 +675,37 @@
 		}
 	}
 }
+
+// A call of a keyed class carries one idempotency key through all its redeliveries, made of the webhook-id, so that
+// workers drop a repeat; others carry none.
+func TestKeyedDeliveriesCarryTheirIDAsKey(t *testing.T) {
+	keys := map[string]map[string]bool{}
+	for range 2 { // two receivers, as after a restart with a lost ledger
+		k := &core{}
+		v, posts := newReceiver(t, k, filepath.Join(t.TempDir(), "ledger"))
+		for _, id := range []string{"a", "b"} {
+			for _, class := range []string{"dim-level", "repair-order", "extend"} {
+				v.serve(&standin.Line{}, netip.AddrPort{}).Data(deliveryOf(secret, class+id, noon, call(class, "x", noon)))
+				if class != "dim-level" {
+					(<-posts)()
+				}
+				name := class + id
+				if keys[name] == nil {
+					keys[name] = map[string]bool{}
+				}
+				keys[name][k.taken[len(k.taken)-1].Once] = true
+			}
+		}
+	}
+	for name, got := range keys {
+		keyed := strings.HasPrefix(name, "extend")
+		if len(got) != 1 || got[""] == keyed {
+			t.Errorf("%s: keys %v", name, got)
+		}
+	}
+	for key := range keys["extenda"] {
+		if !router.ParseOnce(key) || keys["extendb"][key] {
+			t.Errorf("key %q", key)
+		}
+	}
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -169,11 +169,15 @@
 	Workers []WorkerEntry
 }
 
+// NoTenant is the tenant of a request that names none of those that the settings know. Where they know any, it is
+// beyond everyone's share.
+const NoTenant = -1
+
 // Arrived is a new request, to which one final answer is owed.
 type Arrived struct {
 	Request  RequestID
 	Class    int
-	Tenant   int
+	Tenant   int // NoTenant: none of those in the settings
 	Function FunctionID
 	Lanes    float64       // requests that one instance runs at a time
 	MemoryMB float64       // memory of one instance
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -411,6 +411,7 @@
 	e.Terms = cmp.Or(e.Terms, &settingsAlone)
 	r := &request{Arrived: e, fn: f, deadline: p.now + e.Left, pool: e.Terms.Pool}
 	p.reqs[e.Request] = r
+	r.over = len(p.tenants) > 0
 	if e.Tenant >= 0 && e.Tenant < len(p.tenants) { // a second's worth may be saved up, and chance
 		b := &p.tenants[e.Tenant]
 		b.level = min(b.level+b.rate*(p.now-b.at).Seconds(), b.rate+3*math.Sqrt(b.rate)+1)
