Give idle copies back at their memory's worth; shed turned-away calls like first ones

Both follow from settings: the price of memory, the memory of workers, the class's late worth and wanted time, the traffic of the ration's window. Where only rationed orders load, copies stay, so the first deployment is as before.

Cause 2: overload, where 89% of attempts were turned away: a call that was turned away skipped the shedding that first attempts go through (place) and went round all workers, cold ones too, at 4.3 attempts a call. Change: what never ran is shed alike.

--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -41,15 +41,17 @@
 		FallMultiple float64 `json:"fallMultiple"`
 	} `json:"rules"`
 	Specifics struct {
-		IfCold           string  `json:"ifCold"`
-		LingerIdleMs     float64 `json:"lingerIdleMs"`
-		LoadFree         float64 `json:"loadFree"`
-		LoadPart         float64 `json:"loadPart"`
-		LoadWaitMs       float64 `json:"loadWaitMs"`
-		LoadsWithinMs    float64 `json:"loadsWithinMs"`
-		NotesPeersInHand bool    `json:"notesPeersInHand"`
-		PlacementCalls   bool    `json:"placementCalls"`
-		WarmNotes        bool    `json:"warmNotes"`
+		IfCold           string    `json:"ifCold"`
+		LingerIdleMs     float64   `json:"lingerIdleMs"`
+		LoadFree         float64   `json:"loadFree"`
+		LoadPart         float64   `json:"loadPart"`
+		LoadWaitMs       float64   `json:"loadWaitMs"`
+		LoadsWithinMs    float64   `json:"loadsWithinMs"`
+		NotesPeersInHand bool      `json:"notesPeersInHand"`
+		PlacementCalls   bool      `json:"placementCalls"`
+		WarmNotes        bool      `json:"warmNotes"`
+		MemoryPrice      float64   `json:"memoryPrice"`
+		MemoryMbByKind   []float64 `json:"memoryMbByKind"`
 	} `json:"specifics"`
 }
 
@@ -106,6 +108,10 @@
 		LoadWindow:     millis(s.Specifics.LoadsWithinMs),
 		LoadFree:       s.Specifics.LoadFree,
 		LoadShare:      s.Specifics.LoadPart,
+		MemoryPrice:    s.Specifics.MemoryPrice,
+	}
+	for _, m := range s.Specifics.MemoryMbByKind {
+		c.WorkerMemoryMB += m / float64(len(s.Specifics.MemoryMbByKind))
 	}
 	if s.OverShareWorth != nil {
 		c.OverShareWorth = *s.OverShareWorth
--- a/policy/api.go
+++ b/policy/api.go
@@ -94,6 +94,9 @@
 	LoadWindow   time.Duration // window of the ration of load orders; 0: none
 	LoadFree     float64       // orders free in a window
 	LoadShare    float64       // and further ones as a share of the calls taken in it
+
+	MemoryPrice    float64 // what all memory costs, if idle instances held it, as a share of all worth
+	WorkerMemoryMB float64 // memory of a worker, in the mean of the kinds; 0 where not told
 }
 
 // Outcome is how an attempt, a probe or a load order ended.
--- /dev/null
+++ b/policy/memory_test.go
@@ -0,0 +1,166 @@
+package policy
+
+import (
+	"slices"
+	"testing"
+	"time"
+)
+
+// dear returns settings under which memory has a price and a call loads what it lacks.
+func dear() Config {
+	c := config()
+	c.MayOrder, c.MemoryPrice, c.WorkerMemoryMB = true, 0.15, 10_000
+	c.LoadWindow, c.LoadFree, c.LoadShare = 10*time.Second, 4, 0.3
+	return c
+}
+
+// unloadsOf serves n calls of a function of so much memory in each of ten seconds, then lets time pass, and returns
+// how long after the last call its copy was unloaded, or 0 if that never was.
+func unloadsOf(t *testing.T, c Config, n int, memory float64) time.Duration {
+	b := newBed(t, c, 10)
+	for range 10 * n {
+		b.id++
+		acts := b.do(Arrived{Request: b.id, Function: 7, Lanes: 4, MemoryMB: memory, LoadTime: 500 * ms, Left: 4 * time.Second})
+		s, ok := first[Send](acts)
+		if !ok {
+			t.Fatalf("not sent: %v", acts)
+		}
+		b.pass(20 * ms)
+		b.do(AttemptEnded{Request: b.id, Worker: s.Worker, Outcome: Served, Note: WasWarm, Closed: true, Took: 20 * ms})
+		b.pass(time.Second/time.Duration(n) - 20*ms)
+	}
+	for end := b.now; b.now < end+c.KeepAlive; {
+		b.now += beat
+		if u, ok := first[Unload](b.do(TimerFired{Token: beatToken})); ok {
+			if u.Function != 7 {
+				t.Errorf("unloaded %+v", u)
+			}
+			return b.now - end
+		}
+	}
+	return 0
+}
+
+// An idle copy goes once its memory has cost what a call loses that finds none: sooner where memory is dearer, the
+// copy larger or the traffic thicker, and never where the settings give no reason to.
+func TestIdleCopiesGoWhenTheirMemoryCostsMoreThanAMiss(t *testing.T) {
+	base := unloadsOf(t, dear(), 20, 8000)
+	if base <= 0 || base >= 9*time.Second {
+		t.Fatalf("unloaded after %v", base)
+	}
+	if larger := unloadsOf(t, dear(), 20, 30_000); larger <= 0 || larger >= base {
+		t.Errorf("a larger copy is unloaded after %v, another after %v", larger, base)
+	}
+	if thin := unloadsOf(t, dear(), 2, 8000); thin != 0 {
+		t.Errorf("in thin traffic it is unloaded after %v", thin)
+	}
+	for name, change := range map[string]func(*Config){
+		"memory is free":            func(c *Config) { c.MemoryPrice = 0 },
+		"no memory is told":         func(c *Config) { c.WorkerMemoryMB = 0 },
+		"orders are not allowed":    func(c *Config) { c.MayOrder = false },
+		"only rationed orders load": func(c *Config) { c.MissWhenCold = true },
+	} {
+		c := dear()
+		change(&c)
+		if at := unloadsOf(t, c, 20, 8000); at != 0 {
+			t.Errorf("where %s it is unloaded after %v", name, at)
+		}
+	}
+	if at := unloadsOf(t, dear(), 20, 0); at != 0 {
+		t.Errorf("a copy of untold memory is unloaded after %v", at)
+	}
+}
+
+// Guards a copy that is in use, loading, or at a worker that takes nothing new: none of these is unloaded.
+func TestOnlyIdleCopiesAtReadyWorkersAreUnloaded(t *testing.T) {
+	for _, why := range []string{"in use", "draining"} {
+		b := newBed(t, dear(), 1)
+		for range 200 {
+			b.id++
+			b.do(Arrived{Request: b.id, Function: 7, Lanes: 400, MemoryMB: 9000, LoadTime: 500 * ms, Left: time.Hour})
+			if b.id < 200 || why == "draining" {
+				b.do(AttemptEnded{Request: b.id, Worker: 1, Outcome: Served, Note: WasWarm, Closed: true, Took: 20 * ms})
+			}
+		}
+		if why == "draining" {
+			b.do(WorkerList{Kind: ListWhole, Workers: []WorkerEntry{{Worker: 1, State: Draining, Weight: 1}}})
+		}
+		for range 300 {
+			b.now += beat
+			if acts := b.do(TimerFired{Token: beatToken}); has[Unload](acts) {
+				t.Fatalf("%s, and unloaded: %v", why, acts)
+			}
+		}
+	}
+}
+
+// Guards equal runs: copies that go in one sweep go in one order, whatever a map's is.
+func TestUnloadsComeInOneOrder(t *testing.T) {
+	run := func() (order []FunctionID) {
+		b := newBed(t, dear(), 1)
+		for i := range 400 {
+			b.id++
+			b.do(Arrived{Request: b.id, Function: FunctionID(i%20 + 1), Lanes: 400, MemoryMB: 9000, LoadTime: 500 * ms, Left: time.Hour})
+			b.do(AttemptEnded{Request: b.id, Worker: 1, Outcome: Served, Note: WasWarm, Closed: true, Took: 20 * ms})
+		}
+		for range 200 {
+			b.now += beat
+			for _, a := range b.do(TimerFired{Token: beatToken}) {
+				if u, ok := a.(Unload); ok {
+					order = append(order, u.Function)
+				}
+			}
+		}
+		return order
+	}
+	want := run()
+	if len(want) != 20 {
+		t.Fatalf("%d of 20 copies were unloaded", len(want))
+	}
+	for range 5 {
+		if got := run(); !slices.Equal(got, want) {
+			t.Fatalf("unloaded %v, then %v", want, got)
+		}
+	}
+}
+
+// A call that was turned away meets the same queues as one that has just come: under a standing delay it gives way as
+// often, and does not go round all workers.
+func TestCallsTurnedAwayGiveWayUnderAStandingDelay(t *testing.T) {
+	refused := func(overloaded bool) (n int) {
+		b := newBed(t, config(), 8)
+		for i := range 200 {
+			took := 50 * ms
+			if overloaded {
+				took = 700 * ms
+			}
+			id, acts := b.arrive(0, FunctionID(i%4+1))
+			if s, ok := first[Send](acts); ok {
+				b.now += took
+				b.do(AttemptEnded{Request: id, Worker: s.Worker, Outcome: Served, Note: WasWarm, Closed: true, Took: took})
+			}
+		}
+		for i := 0; i < 200; {
+			id, acts := b.arrive(0, FunctionID(i%4+1))
+			s, ok := first[Send](acts)
+			if !ok {
+				continue // a first attempt that gives way
+			}
+			i++
+			acts = b.do(AttemptEnded{Request: id, Worker: s.Worker, Outcome: Full, Took: ms})
+			if has[Refuse](acts) {
+				n++
+			} else if s, ok = first[Send](acts); ok {
+				b.do(AttemptEnded{Request: id, Attempt: 1, Worker: s.Worker, Outcome: Served, Note: WasWarm, Closed: true, Took: 50 * ms})
+			}
+			b.now += 10 * ms
+		}
+		return n
+	}
+	if n := refused(false); n > 5 {
+		t.Errorf("%d of 200 calls turned away once are refused where nothing queues", n)
+	}
+	if n := refused(true); n < 20 {
+		t.Errorf("%d of 200 calls turned away once are refused under a standing delay", n)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,5 +1,4 @@
-// The interface of this module (Config, events, actions, ids, outcomes) is in api.go.
-// docs/design.md tells what the mechanism is and when each exception to it acts.
+// The interface is in api.go; docs/design.md tells what the mechanism is and when each exception to it acts.
 
 package policy
 
@@ -98,7 +97,8 @@
 	run, n         float64
 	calls          float64 // ours before the last, decaying over rateSpan
 	loadTime, used time.Duration
-	jams           float64 // calls late or turned away where a copy stood, less those that were not
+	keep           time.Duration // an idle copy is worth its memory for so long
+	jams           float64       // calls late or turned away where a copy stood, less those that were not
 }
 
 // fit is a line through the origin, queueing delay over requests in flight: the ratio of their sums.
@@ -188,10 +188,10 @@
 
 // sane returns v within [lo, hi], and lo for what is no number.
 func sane(v, lo, hi float64) float64 {
-	if math.IsNaN(v) {
-		return lo
+	if v >= lo {
+		return min(v, hi)
 	}
-	return min(max(v, lo), hi)
+	return lo
 }
 
 // Handle takes one event and appends the actions that answer it to out.
@@ -269,6 +269,8 @@
 		}
 	case Subscribe: // only where the list does not come by itself
 		may = p.cfg.ListByAsking && !p.subscribed
+	case Unload:
+		may = p.cfg.MayOrder && p.workers[a.Worker].State == Ready
 	case Probe:
 		may = p.cfg.MayProbe
 	case Cancel:
@@ -309,14 +311,12 @@
 			c.Group == GroupCell && w.Cell == ran.w.Cell)
 }
 
-// coldRoom guards a cold worker from being pushed over by all dispatchers together. What warm workers serve
-// is within their capacity, so each lets come on no more than its part of that, under the told multiple. A
-// start owes a part of a call, by chance, so that many that send little take turns; one may be saved up.
+// coldRoom guards a cold worker from all dispatchers together: each lets come on its part of what warm ones
+// serve, under the told multiple. A start owes a part of a call, by chance, so that many take turns.
 func (p *Policy) coldRoom(w *worker) bool { return w.room > 0 || p.capacity(w) >= 1 }
 
 // weigh sees what workers can do beside each other, if warm: their size, to a power that is learned of the
-// runs at large and small ones, since larger ones are often faster as well. What warm ones are seen to take
-// by that is what a cold one will; where none is warm, what was seen last.
+// runs at large and small ones. What warm ones are seen to take by that is what a cold one will.
 func (p *Policy) weigh() {
 	power, work, might := 1+sane(p.speed.ny/(p.speed.nn+speedPrior), 0, 2), 0.0, 0.0
 	for _, w := range p.fleet {
@@ -410,7 +410,7 @@
 	e.Left = max(e.Left, 0)
 	e.Terms = cmp.Or(e.Terms, &settingsAlone)
 	r := &request{Arrived: e, fn: f, deadline: p.now + e.Left, pool: e.Terms.Pool}
-	p.reqs[e.Request] = r
+	p.reqs[e.Request], f.keep = r, p.keep(r)
 	r.over = len(p.tenants) > 0
 	if e.Tenant >= 0 && e.Tenant < len(p.tenants) { // a second's worth may be saved up, and chance
 		b := &p.tenants[e.Tenant]
@@ -422,6 +422,19 @@
 	f.calls++
 }
 
+// keep is how long an idle copy of r's function is worth its memory: until that cost what a call loses that
+// finds none, in calls. Who shares it sees only his, so keeps it longer; so do rationed orders, for good.
+func (p *Policy) keep(r *request) time.Duration {
+	c := &p.classes[r.Class]
+	held := float64(p.arrivals.since(p.now-p.cfg.LoadWindow+1)) * p.cfg.MemoryPrice * r.MemoryMB
+	if p.cfg.MissWhenCold || p.cfg.WorkerMemoryMB <= 0 || !(held > 0) {
+		return p.cfg.KeepAlive
+	}
+	lost := (1 - c.LateWorth) * min((p.loadTime(r.fn)+p.run(r))/float64(c.Aim), 1)
+	lost *= p.cfg.WorkerMemoryMB * float64(max(p.ready, 1)) * float64(p.cfg.LoadWindow)
+	return time.Duration(min(lost/held, float64(p.cfg.KeepAlive)))
+}
+
 // queueing predicts the delay at w with n requests of ours in flight there.
 func (p *Policy) queueing(w *worker, n int) float64 {
 	ny := w.slope.ny + fitPrior*p.slope.ny/max(p.slope.nn, 1)
@@ -489,8 +502,7 @@
 	return score
 }
 
-// home ranks workers for a function alike at all dispatchers, and first as often as their size makes them.
-// That counts for as much as others carry: what a dispatcher's own calls wait shows it who is small.
+// home ranks workers for a function alike at all dispatchers, by size as far as others carry the calls.
 func home(f FunctionID, w WorkerID, size float64) float64 {
 	x := uint64(f)*0x9e3779b97f4a7c15 ^ uint64(w)*0xc2b2ae3d27d4eb4f
 	x ^= x >> 31
@@ -499,9 +511,8 @@
 }
 
 // homeOf returns the home of r's function, the first in rank of those that we think cold, and the chance that
-// a copy stands there all the same. A function deserves the share of the fleet that it is of our work, in
-// homes, or as many more as it met jams, as far as others carry it: ours show in flight. Each dispatcher
-// keeps to one; others keep it warm.
+// a copy stands there all the same. A function deserves its share of our work in homes, or as many as it met
+// jams, as far as others carry it: ours show in flight. Each dispatcher keeps to one; others keep it warm.
 func (p *Policy) homeOf(r *request, cands []*worker) (at *worker, chance float64) {
 	f, run, slot := r.fn, p.run(r), 0
 	share := f.calls * run * float64(p.ready) / max(p.rate, run)
@@ -548,15 +559,14 @@
 	return (i == nil || i.loading == 0) && p.loadLeft(w, r) > 0
 }
 
-// loadFailed guards the shared store: while loads fail, wherever they are begun, they begin one at a time and
-// ever more slowly, and cold calls are held, until one succeeds. A failure by chance costs one short pause.
+// loadFailed guards the shared store: while loads fail they begin one at a time and ever more slowly, and
+// cold calls are held, until one succeeds. A failure by chance costs one short pause.
 func (p *Policy) loadFailed(n int) {
 	p.failed += n
 	p.gate = p.now + beat<<min(p.failed, 5)
 }
 
-// looksBad tells whether w is set aside: until a probe is answered or, without probes, for its spell; then it
-// gets one attempt at a time until one is served.
+// looksBad: w is set aside until a probe is answered or, without, for its spell, then on one trial at a time.
 func (p *Policy) looksBad(w *worker) bool {
 	return w.strikes > 0 && (p.cfg.MayProbe || p.now < w.aside || len(w.out) > 0)
 }
@@ -624,7 +634,7 @@
 	}
 	shed, wait := p.shed(r, w, sure)
 	if sure > float64(r.deadline-p.now) || r.over && best > float64(p.classes[r.Class].Aim) ||
-		len(r.attempts) == 0 && shed {
+		r.ran == nil && shed {
 		if p.now-p.lastTrial < slowBeat || r.over {
 			p.finish(r, wait)
 			return
@@ -634,8 +644,7 @@
 	p.send(r, w, time.Duration(score), w == at && discount >= likely)
 }
 
-// mayYet tells whether waiting may help r, which no worker may take now: one that is set aside or just
-// started may later, or none is listed. What else would be held is ended; a pool's cap is no queue.
+// mayYet tells whether waiting may help r: a worker set aside or cold may take it later, or one be listed.
 func (p *Policy) mayYet(r *request) bool {
 	return r.pool.Room() && (p.ready == 0 && p.repeatable(r, nil) ||
 		slices.ContainsFunc(p.fleet, func(w *worker) bool {
@@ -645,9 +654,8 @@
 }
 
 // shed answers overload: a standing delay that even fast answers show serves nobody, so a growing part of
-// what arrives gives way, first what is beyond its tenant's share or late at best, then what is worth least.
-// The yardstick is the wanted time of the classes worth as much or more, whose answers it would make late.
-// The wait is the time in which the queue drains to where r is let in.
+// what never ran gives way, first what is beyond its tenant's share or late at best, then the least worth.
+// The yardstick is the wanted time of classes worth as much or more; the wait is until the queue lets r in.
 func (p *Policy) shed(r *request, w *worker, score float64) (shed bool, wait float64) {
 	c := &p.classes[r.Class]
 	own := float64(min(c.Aim, cmp.Or(r.Terms.Aim, c.Aim)))
@@ -675,15 +683,6 @@
 	return c.Worth / max(c.run, 1)
 }
 
-// sawDelay tracks the delay that most warm answers exceed: slowly up to those that took longer, fast down.
-func (p *Policy) sawDelay(d float64, aim time.Duration) {
-	answers := 20.0
-	if d < p.standing {
-		answers = 4
-	}
-	p.standing += (min(d, clip*float64(aim)) - p.standing) / answers
-}
-
 func (p *Policy) send(r *request, w *worker, expected time.Duration, likely bool) {
 	load, i := p.loadLeft(w, r), p.instance(w, r.fn.id)
 	if !p.emit(Send{Request: r.Request, Worker: w.Worker, Limit: r.Terms.Limit}) {
@@ -774,15 +773,11 @@
 			p.reported(w, e.Report)
 			w.delay.see(p.now, max(clip*p.run(r), w.delay.now(p.now)))
 		}
-	case Reset: // its process died, or only this answer was lost: a probe tells
-		if !w.probing { // one sign, however many calls were on the connection
+	case Reset, Unreachable:
+		if e.Outcome == Reset && !w.probing { // one sign, however many calls were on the connection
 			w.fails[r.Class].see(p.now, 1)
-			if !p.probe(w) {
-				p.strike(w)
-			}
 		}
-	case Unreachable:
-		p.strike(w)
+		p.broken(w, e.Outcome)
 	case Cancelled, TimedOut: // it would have taken longer still; where others were answered, they tell
 		if over := float64(e.Took) - p.run(r); !a.cold && w.delay.at < a.sent && over > w.delay.now(p.now) {
 			w.delay.see(p.now, min(over, clip*float64(p.classes[r.Class].Aim)))
@@ -813,7 +808,11 @@
 		loaded = took > base+queue+p.loadTime(f)/2
 	}
 	if !a.cold && e.Note <= WasWarm { // a guessed load may be a queue
-		p.sawDelay(float64(e.Took), c.Aim)
+		answers := 20.0 // slowly up to what took longer, fast down
+		if took < p.standing {
+			answers = 4
+		}
+		p.standing += (min(took, clip*float64(c.Aim)) - p.standing) / answers
 	}
 	i.warmUntil, i.loading, i.lanes = p.now+p.cfg.KeepAlive, 0, max(i.lanes, i.inFlight+1)
 	p.tell(i, f)
@@ -848,20 +847,18 @@
 	c.run += (min(net, clip*c.run) - c.run) / c.n
 }
 
-// jam has f keep further homes, whatever crowds the one it was at. Homes rank alike at all dispatchers, so
-// what jams for one does for all. In overload f spreads over the fleet; good answers take that back.
+// jam has f keep further homes, as at all dispatchers; homes rank alike. Good answers take that back.
 func (p *Policy) jam(f *function) { f.jams = min(f.jams+1, float64(p.ready)) }
 
 // queued is how many requests wait at a worker by its report; below 0 where that doesn't tell.
 func (p *Policy) queued(report []float64) float64 {
-	if p.waiting >= 0 && p.waiting < len(report) {
-		return sane(report[p.waiting], -1, 1000)
+	if p.waiting < 0 || p.waiting >= len(report) {
+		return -1
 	}
-	return -1
+	return sane(report[p.waiting], -1, 1000)
 }
 
-// reported takes a report into w's constant: what waits there, at the delay that such a queue was seen to
-// mean. Late and noisy as it is, it counts as one answer, and at most as what answers may take.
+// reported takes a report, late and noisy, into w's constant as one answer: the delay such a queue meant.
 func (p *Policy) reported(w *worker, report []float64) {
 	if q := p.queued(report); q >= 0 {
 		w.delay.see(p.now, min(q*p.pace.ny/max(p.pace.nn, 1), clip*float64(p.classes[0].Aim)))
@@ -936,10 +933,8 @@
 		}
 	case Errored:
 		p.loadFailed(1)
-	case Reset, Unreachable: // a connection may break alone: a probe tells
-		if e.Outcome == Unreachable || !w.probing && !p.probe(w) {
-			p.strike(w)
-		}
+	case Reset, Unreachable:
+		p.broken(w, e.Outcome)
 	}
 	parked := i.parked
 	i.parked = nil
@@ -951,6 +946,13 @@
 	}
 }
 
+// broken takes in a connection that broke, maybe alone: a probe tells; or one that did not come up.
+func (p *Policy) broken(w *worker, o Outcome) {
+	if o == Unreachable || !w.probing && !p.probe(w) {
+		p.strike(w)
+	}
+}
+
 func (p *Policy) probe(w *worker) bool {
 	w.probing, w.probed = p.emit(Probe{Worker: w.Worker}), p.now
 	return w.probing
@@ -1018,8 +1020,10 @@
 	})
 	p.weigh()
 	for _, w := range p.fleet {
-		for id, i := range w.copies {
-			if i.inFlight == 0 && !i.ordered && p.now > i.warmUntil && p.now > i.loading {
+		for _, id := range slices.Sorted(maps.Keys(w.copies)) { // equal runs must do equal things
+			i, f := w.copies[id], p.funcs[id]
+			due, idle := i.warmUntil-p.now, i.inFlight == 0 && !i.ordered && p.now > i.loading
+			if idle && (due < 0 || f != nil && due+f.keep < p.cfg.KeepAlive && p.emit(Unload{w.Worker, id})) {
 				p.believed.drop(id, w)
 			}
 		}
@@ -1027,8 +1031,7 @@
 	maps.DeleteFunc(p.funcs, func(_ FunctionID, f *function) bool { return p.now-f.used > 2*time.Minute })
 }
 
-// finish gives the final answer: a refusal where that is true, else a failure. The client is told to come
-// back after what is in the way now, spread by chance: else all that were refused come back at once.
+// finish gives the final answer: a refusal where true, else a failure. Clients come back spread by chance.
 func (p *Policy) finish(r *request, wait float64) {
 	a := Refuse{Request: r.Request}
 	if most := float64(p.cfg.MaxRetryAfter); p.cfg.RetryAfter && most > 0 {
