--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -20,6 +20,9 @@
 	Wait  time.Duration
 	Props string
 	Body  []byte
+
+	Tenant, Once string   // "": not told
+	More         []string // further fields, a name and a value in turn
 }
 
 // Answer is what a router answered.
@@ -76,6 +79,13 @@
 	if call.Props != "" {
 		fields = append(fields, "props", call.Props)
 	}
+	if call.Tenant != "" {
+		fields = append(fields, "tenant", call.Tenant)
+	}
+	if call.Once != "" {
+		fields = append(fields, "once", call.Once)
+	}
+	fields = append(fields, call.More...)
 	b = append(b, 0, 0, 0, 0, 13, 0, 1, 11, 11, 0, 0, 0, byte(len(fields)/2))
 	for _, s := range fields {
 		b = text(b, s)
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -284,7 +284,11 @@
 	}
 	var terms *policy.Terms
 	if c.routes != nil {
-		to := c.routes.Match(route.Call{Front: route.Front(r.Front), Class: r.Class, Function: uint64(r.Function), Tenant: r.Tenant})
+		call := route.Call{Front: route.Front(r.Front), Class: r.Class, Function: uint64(r.Function)}
+		if r.Front == Webhook {
+			call.Tenant = r.Tenant // as the language promises: by Thrift tenants count for their shares alone
+		}
+		to := c.routes.Match(call)
 		if to == nil || to.Pool == nil {
 			c.Count.Unrouted[r.Front]++
 			c.refuse(r)
--- /dev/null
+++ b/internal/service/deployments_test.go
@@ -0,0 +1,342 @@
+package service
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"crankhold/internal/fleet"
+	"crankhold/internal/platform"
+	"crankhold/internal/router"
+	"crankhold/policy"
+)
+
+// deployment is one operator's. A further one is a further row, with its settings under testdata/deployments.
+type deployment struct {
+	name    string
+	want    told
+	tenant  string // one of its tenants; "" where it has none
+	reports string // a load report of the fields that its settings name
+}
+
+// told is what the module is to be told of settings, as far as deployments differ.
+type told struct {
+	Repeats        []policy.Repeat
+	Tenants        []float64
+	Attempts       int
+	Second, Misses bool
+	Crowds         bool
+	Grace, After   time.Duration
+	Fall           float64
+	Fields         []string
+	MemoryPrice    float64
+	MemoryMB       float64
+}
+
+var deployments = []deployment{
+	{"lanternfield", told{[]policy.Repeat{policy.Safe, policy.Safe, policy.Unsafe}, nil, 3, true, true, false,
+		time.Second, time.Second, 2, []string{"inflight"}, 0.05, 8928}, "", "inflight:3"},
+	{"derwent", told{[]policy.Repeat{policy.Safe, policy.Keyed, policy.Unsafe}, []float64{308, 70, 62}, 5, false, false, true,
+		500 * time.Millisecond, 500 * time.Millisecond, 4, []string{"util", "queue", "x1", "x0"}, 0.15, 7904},
+		"launceston", "util:0.5;queue:1;x1:0;x0:0.2"},
+}
+
+func (d deployment) settings(t *testing.T) map[string]any {
+	text, err := os.ReadFile(filepath.Join("testdata", "deployments", d.name+".json"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var s map[string]any
+	if err := json.Unmarshal(text, &s); err != nil {
+		t.Fatal(err)
+	}
+	s["later"] = map[string]any{"keys": "are ignored"}
+	return s
+}
+
+// plant is a router in this process between two workers that do as they are told.
+type plant struct {
+	cfg     *platform.Config
+	client  *fleet.Client
+	mu      sync.Mutex
+	runs    []ran
+	out     map[string]int // attempts of a call that are out
+	doubled int            // calls of which two were
+	script  func(n int) (word, fields string)
+}
+
+// ran is a RUN as a worker read it.
+type ran struct {
+	ID, Body string
+	Fields   map[string]string
+}
+
+func startDeployment(t *testing.T, d deployment) *plant {
+	p := &plant{out: map[string]int{}}
+	var members []any
+	for i := range 2 {
+		ln, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { ln.Close() })
+		go p.accept(ln)
+		members = append(members, map[string]any{"id": fmt.Sprint("s-", i), "host_port": ln.Addr().String(), "phase": "Ready", "size": 1})
+	}
+	names, err := net.ListenPacket("udp", "127.0.0.1:0") // a directory that never answers
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { names.Close() })
+	listen, err := fleet.FreeAddr()
+	if err != nil {
+		t.Fatal(err)
+	}
+	text, err := json.Marshal(map[string]any{"name": "n1", "listen": listen, "seed": "8c1f30d27a5be964", "names": names.LocalAddr().String(),
+		"limits":   map[string]any{"cores": 1, "memory_mb": 64, "sockets": 384},
+		"known":    map[string]any{"offset": 1, "batch": []any{map[string]any{"offset": 1, "topology": map[string]any{"complete": true, "members": members}}}},
+		"settings": d.settings(t)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	path := filepath.Join(t.TempDir(), "config.json")
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if p.cfg, err = platform.Read(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] }); err != nil {
+		t.Fatal(err)
+	}
+	stop, ended := make(chan struct{}), make(chan error, 1)
+	go func() { ended <- Serve(p.cfg, Options{Stop: stop}, nil) }()
+	for p.client == nil {
+		select {
+		case err := <-ended:
+			t.Fatal(err)
+		default:
+			p.client, _ = fleet.Dial(listen)
+		}
+	}
+	t.Cleanup(func() {
+		p.client.Close()
+		close(stop)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return p
+}
+
+func (p *plant) accept(ln net.Listener) {
+	for {
+		c, err := ln.Accept()
+		if err != nil {
+			return
+		}
+		go p.serve(c)
+	}
+}
+
+func (p *plant) serve(c net.Conn) {
+	defer c.Close()
+	answer := func(words ...string) {
+		fmt.Fprintf(c, "*%d\r\n", len(words))
+		for _, w := range words {
+			fmt.Fprintf(c, "$%d\r\n%s\r\n", len(w), w)
+		}
+	}
+	for in := bufio.NewReader(c); ; {
+		line, err := in.ReadString('\n')
+		if err != nil {
+			return
+		}
+		n, _ := strconv.Atoi(strings.TrimSpace(line[1:]))
+		var words []string
+		for range n {
+			line, _ = in.ReadString('\n')
+			size, _ := strconv.Atoi(strings.TrimSpace(line[1:]))
+			b := make([]byte, size+2)
+			if _, err := io.ReadFull(in, b); err != nil {
+				return
+			}
+			words = append(words, string(b[:size]))
+		}
+		switch {
+		case len(words) == 4 && words[0] == "RUN":
+			r := ran{ID: words[1], Body: words[3], Fields: map[string]string{}}
+			for pair := range strings.SplitSeq(words[2], ",") {
+				name, value, _ := strings.Cut(pair, "=")
+				r.Fields[name] = value
+			}
+			p.mu.Lock()
+			p.runs = append(p.runs, r)
+			if p.out[r.ID]++; p.out[r.ID] > 1 {
+				p.doubled++
+			}
+			word, fields := p.script(len(p.runs))
+			p.out[r.ID]--
+			p.mu.Unlock()
+			answer(r.ID, word, fields, "done "+r.Body)
+		case words[0] == "HOLD":
+			answer(words[1], "HIT", "count=1", "")
+		case words[0] == "INFO" || words[0] == "NOOP":
+			answer(words[1], "PONG", "-", "")
+		}
+	}
+}
+
+// call sends one and returns its answer with the runs that it took.
+func (p *plant) call(t *testing.T, k fleet.Call, script func(n int) (word, fields string)) (fleet.Answer, []ran) {
+	t.Helper()
+	p.mu.Lock()
+	p.runs, p.script = nil, script
+	p.mu.Unlock()
+	a, err := p.client.Do(k)
+	if err != nil {
+		t.Fatalf("%+v: %v", k, err)
+	}
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return a, p.runs
+}
+
+// What the settings say of a deployment reaches the module, whatever else they hold.
+func TestDeploymentsSettingsReachTheModule(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			c := startDeployment(t, d).cfg.Module
+			got := told{Attempts: c.MaxAttempts, Second: c.SecondAttempts, Misses: c.MissWhenCold, Crowds: c.CrowdNotes, Grace: c.DrainGrace,
+				After: c.MaxRetryAfter, Fall: c.FallMultiple, Fields: c.ReportFields, MemoryPrice: c.MemoryPrice, MemoryMB: c.WorkerMemoryMB}
+			for _, k := range c.Classes {
+				got.Repeats = append(got.Repeats, k.Repeat)
+			}
+			for _, a := range c.Tenants {
+				got.Tenants = append(got.Tenants, a.PerSecond)
+			}
+			if diff := cmp.Diff(d.want, got); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+// From a client's socket to a worker's and back, each class of each deployment: what is passed on is what the client
+// sent, what never ran goes elsewhere under the same names, and what may have run is repeated as far as its class allows.
+func TestDeploymentsClassesFromSocketToSocket(t *testing.T) {
+	const once = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			p := startDeployment(t, d)
+			n := uint64(0)
+			fresh := func(class int) fleet.Call {
+				n++
+				k := fleet.Call{Class: p.cfg.ClassNames()[class], ID: fmt.Sprintf("%016x", n), Key: fmt.Sprintf("%016x", 0x7f3a+n), Wait: 2 * time.Second,
+					Props: "memory_mb:300;lanes:2;load_ms:400;later:1", Body: []byte("lamp"), Tenant: d.tenant, More: []string{"later", "ignored"}}
+				if p.cfg.Module.Classes[class].Repeat == policy.Keyed {
+					k.Once = once
+				}
+				return k
+			}
+			good := func(int) (string, string) { return "HIT", "detail=hot,crowd=2,use=" + d.reports + ",later=1" }
+			for class, k := range p.cfg.Module.Classes {
+				sent := fresh(class)
+				a, runs := p.call(t, sent, good)
+				if a.Verdict != "served" || string(a.Body) != "done lamp" || len(runs) != 1 {
+					t.Fatalf("class %d: %+v after %d runs", class, a, len(runs))
+				}
+				budget, err := strconv.Atoi(runs[0].Fields["budget"])
+				if err != nil || budget <= 0 || budget > 2000 {
+					t.Errorf("class %d: budget %q", class, runs[0].Fields["budget"])
+				}
+				delete(runs[0].Fields, "budget")
+				want := ran{sent.ID, "lamp", map[string]string{"queue": sent.Class, "path": sent.Key}}
+				if sent.Once != "" {
+					want.Fields["uniq"] = sent.Once
+				}
+				if diff := cmp.Diff(want, runs[0]); diff != "" {
+					t.Errorf("class %d: %s", class, diff)
+				}
+				for _, tt := range []struct {
+					word   string
+					repeat bool
+				}{{"SHED", true}, {"FAULT", k.Repeat != policy.Unsafe}} {
+					sent := fresh(class)
+					a, runs := p.call(t, sent, func(n int) (string, string) {
+						if n == 1 {
+							return tt.word, "-"
+						}
+						return good(n)
+					})
+					verdict, times := "failed", 1
+					if tt.repeat {
+						verdict, times = "served", 2
+					}
+					if a.Verdict != verdict || len(runs) != times {
+						t.Errorf("class %d after %s: %s after %d runs", class, tt.word, a.Verdict, len(runs))
+						continue
+					}
+					for _, r := range runs {
+						if r.ID != sent.ID || r.Fields["uniq"] != sent.Once || r.Body != "lamp" {
+							t.Errorf("class %d after %s: repeated as %+v", class, tt.word, r)
+						}
+					}
+				}
+			}
+			if p.doubled > 0 && !p.cfg.Module.SecondAttempts {
+				t.Errorf("%d attempts went out beside another of their call", p.doubled)
+			}
+		})
+	}
+}
+
+// What is wrong with a field is answered as failed, reaches no worker and costs no other call its answer; odd fields of an
+// answer are passed over.
+func TestDeploymentsBadFields(t *testing.T) {
+	for _, d := range deployments {
+		t.Run(d.name, func(t *testing.T) {
+			p := startDeployment(t, d)
+			n := uint64(0)
+			call := func(change func(*fleet.Call), fields string) (fleet.Answer, int) {
+				n++
+				k := fleet.Call{Class: p.cfg.ClassNames()[1], ID: fmt.Sprintf("%016x", n), Key: "00000000000000aa", Wait: 2 * time.Second, Tenant: d.tenant, Once: "ab"}
+				change(&k)
+				a, runs := p.call(t, k, func(int) (string, string) { return "HIT", fields })
+				return a, len(runs)
+			}
+			keep := func(*fleet.Call) {}
+			bad := map[string]func(*fleet.Call){
+				"a key that is too long": func(k *fleet.Call) { k.Once = strings.Repeat("a", router.MaxOnce+1) },
+				"a key that is not hex":  func(k *fleet.Call) { k.Once = "ab,queue=other" },
+				"a class that is not":    func(k *fleet.Call) { k.Class = "other" },
+				"a wait that is not":     func(k *fleet.Call) { k.More = []string{"wait", "soon"} },
+			}
+			if d.tenant != "" {
+				bad["a tenant that is not"] = func(k *fleet.Call) { k.Tenant = "nobody" }
+				bad["a keyed call without its key"] = func(k *fleet.Call) { k.Once = "" }
+			}
+			for name, change := range bad {
+				if a, runs := call(change, "detail=hot"); a.Verdict != "failed" || runs != 0 {
+					t.Errorf("%s: %s after %d runs", name, a.Verdict, runs)
+				}
+				if a, _ := call(keep, "detail=hot"); a.Verdict != "served" {
+					t.Errorf("after %s: %s", name, a.Verdict)
+				}
+			}
+			for _, fields := range []string{"crowd=-1", "crowd=many", "detail=cold", "use=", "use=util", "use=queue:NaN;util:x", "later", "-", ""} {
+				if a, runs := call(keep, fields); a.Verdict != "served" || runs != 1 {
+					t.Errorf("answer with %q: %s after %d runs", fields, a.Verdict, runs)
+				}
+			}
+		})
+	}
+}
