Rank homes without a logarithm for each worker that can't be first

Change: ln u is at most u-1, so a rank of which that is no better than what is held needs no logarithm (policy.home); the scan over 1,000 workers takes a few. The first in rank is known by its rank, without a variable of its own.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -502,38 +502,38 @@
 	return score
 }
 
-// home ranks workers for a function alike at all dispatchers, by size as far as others carry the calls.
-func home(f FunctionID, w WorkerID, size float64) float64 {
+// home ranks w for f alike at all dispatchers, by its size; what can't be above least needs no logarithm.
+func home(f FunctionID, w WorkerID, size, least float64) float64 {
 	x := uint64(f)*0x9e3779b97f4a7c15 ^ uint64(w)*0xc2b2ae3d27d4eb4f
 	x ^= x >> 31
 	x *= 0xbf58476d1ce4e5b9
-	return math.Log((float64((x^x>>29)>>11)+1)/(1<<53)) / size
+	if u := (float64((x^x>>29)>>11) + 1) / (1 << 53); (u-1)/size > least {
+		return math.Log(u) / size
+	}
+	return least
 }
 
 // homeOf returns the home of r's function, the first in rank of those that we think cold, and the chance that
 // a copy stands there all the same. A function deserves its share of our work in homes, or as many as it met
 // jams, as far as others carry it: ours show in flight. Each dispatcher keeps to one; others keep it warm.
 func (p *Policy) homeOf(r *request, cands []*worker) (at *worker, chance float64) {
-	f, run, slot := r.fn, p.run(r), 0
-	share := f.calls * run * float64(p.ready) / max(p.rate, run)
-	homes := 1 + int((1-1/float64(p.cfg.Peers))*max(share, f.jams))
-	for s := 1; s < min(homes, p.ready); s++ {
-		if home(f.id+FunctionID(s), WorkerID(p.self), 1) > home(f.id+FunctionID(slot), WorkerID(p.self), 1) {
-			slot = s
+	f, run, slot, none := r.fn, p.run(r), 0, math.Inf(-1)
+	homes := 1 + int((1-1/float64(p.cfg.Peers))*max(f.calls*run*float64(p.ready)/max(p.rate, run), f.jams))
+	for s, best := 1, home(f.id, WorkerID(p.self), 1, none); s < min(homes, p.ready); s++ {
+		if h := home(f.id+FunctionID(s), WorkerID(p.self), 1, best); h > best {
+			slot, best = s, h
 		}
 	}
-	key, first, top, rank := f.id^FunctionID(slot)<<48, (*worker)(nil), 0.0, 0.0
+	key, top, rank := f.id^FunctionID(slot)<<48, none, none
 	for _, w := range cands {
-		h := home(key, w.Worker, w.size)
-		if first == nil || h > top {
-			first, top = w, h
-		}
-		if (at == nil || h > rank) && p.cold(w, r) {
+		h := home(key, w.Worker, w.size, min(top, rank))
+		top = max(top, h)
+		if h > rank && p.cold(w, r) {
 			at, rank = w, h
 		}
 	}
 	chance = min(likely, 0.2*float64(p.cfg.Peers+1)) // of a lone dispatcher only what it lost sight of
-	if at != nil && at == first {
+	if at != nil && rank == top {
 		others := f.calls * float64(p.cfg.Peers-1) / float64(homes)
 		chance = max(chance, 1-math.Exp(-others*float64(p.cfg.KeepAlive)/float64(rateSpan)))
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -583,7 +583,7 @@
 			homes := map[float64]float64{}
 			for f := range FunctionID(3000) {
 				at := slices.MaxFunc(b.p.fleet, func(x, y *worker) int {
-					return cmp.Compare(home(f, x.Worker, x.size), home(f, y.Worker, y.size))
+					return cmp.Compare(home(f, x.Worker, x.size, math.Inf(-1)), home(f, y.Worker, y.size, math.Inf(-1)))
 				})
 				homes[at.Weight]++
 			}
