Read a stand-in worker's commands in one place in the service's tests

Cause: the deployments' suite read arrays of bulk strings with the same lines as the test that serves and stops. Change: readWords, which also ends on a short read in place of going on with an empty line.

--- a/internal/service/deployments_test.go
+++ b/internal/service/deployments_test.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"os"
 	"path/filepath"
@@ -156,21 +155,10 @@
 		}
 	}
 	for in := bufio.NewReader(c); ; {
-		line, err := in.ReadString('\n')
-		if err != nil {
+		words, err := readWords(in)
+		if err != nil || len(words) < 2 {
 			return
 		}
-		n, _ := strconv.Atoi(strings.TrimSpace(line[1:]))
-		var words []string
-		for range n {
-			line, _ = in.ReadString('\n')
-			size, _ := strconv.Atoi(strings.TrimSpace(line[1:]))
-			b := make([]byte, size+2)
-			if _, err := io.ReadFull(in, b); err != nil {
-				return
-			}
-			words = append(words, string(b[:size]))
-		}
 		switch {
 		case len(words) == 4 && words[0] == "RUN":
 			r := ran{ID: words[1], Body: words[3], Fields: map[string]string{}}
--- a/internal/service/serve_test.go
+++ b/internal/service/serve_test.go
@@ -38,21 +38,10 @@
 			go func() {
 				defer c.Close()
 				for in := bufio.NewReader(c); ; {
-					var words []string
-					line, err := in.ReadString('\n')
+					words, err := readWords(in)
 					if err != nil {
 						return
 					}
-					n, _ := strconv.Atoi(strings.TrimSpace(line[1:]))
-					for range n {
-						line, _ = in.ReadString('\n')
-						size, _ := strconv.Atoi(strings.TrimSpace(line[1:]))
-						b := make([]byte, size+2)
-						if _, err := io.ReadFull(in, b); err != nil {
-							return
-						}
-						words = append(words, string(b[:size]))
-					}
 					if len(words) == 4 && words[0] == "RUN" {
 						runs <- words[3]
 						body := "done " + words[3]
@@ -65,6 +54,27 @@
 	return ln.Addr().String(), runs
 }
 
+// readWords reads an array of bulk strings, as the router words them.
+func readWords(in *bufio.Reader) (words []string, err error) {
+	line, err := in.ReadString('\n')
+	if err != nil {
+		return nil, err
+	}
+	n, _ := strconv.Atoi(strings.TrimSpace(line[1:]))
+	for range n {
+		if line, err = in.ReadString('\n'); err != nil {
+			return nil, err
+		}
+		size, _ := strconv.Atoi(strings.TrimSpace(line[1:]))
+		b := make([]byte, size+2)
+		if _, err = io.ReadFull(in, b); err != nil {
+			return nil, err
+		}
+		words = append(words, string(b[:size]))
+	}
+	return words, nil
+}
+
 // call writes one call by Thrift.
 func call(c net.Conn, seq uint32, id, body string) {
 	text := func(b []byte, s string) []byte { return append(binary.BigEndian.AppendUint32(b, uint32(len(s))), s...) }
