--- a/internal/command/command.go
+++ b/internal/command/command.go
@@ -19,6 +19,7 @@
 	"crankhold/internal/logs"
 	"crankhold/internal/platform"
 	"crankhold/internal/service"
+	"crankhold/internal/signals"
 )
 
 // Exit statuses.
@@ -32,10 +33,11 @@
 type Env struct {
 	Out, Err io.Writer
 	Getenv   func(string) string
+	Signals  *signals.Caught // from the program's first moment on; nil: none are caught yet
 }
 
 // System returns the process's own.
-func System() Env { return Env{os.Stdout, os.Stderr, os.Getenv} }
+func System() Env { return Env{os.Stdout, os.Stderr, os.Getenv, signals.Catch()} }
 
 // cli is the command line.
 type cli struct {
@@ -81,6 +83,9 @@
 		return usage
 	}
 	k, err := parser.Parse(args)
+	if env.Signals != nil && (err != nil || k.Command() != "serve") {
+		env.Signals.Release() // only a service answers them
+	}
 	if err != nil {
 		fmt.Fprintf(env.Err, "crankhold: %v\n", err)
 		return usage
@@ -143,7 +148,7 @@
 	if err != nil {
 		return err
 	}
-	opts := service.Options{Webhook: chosen(env, 0), Export: chosen(env, 1), Addresses: chosen(env, 2), Routes: env.Getenv(routesVariable)}
+	opts := service.Options{Signals: env.Signals, Webhook: chosen(env, 0), Export: chosen(env, 1), Addresses: chosen(env, 2), Routes: env.Getenv(routesVariable)}
 	if opts.RoutesMay = opts.Routes == ""; opts.RoutesMay {
 		opts.Routes = routesFile
 	}
--- a/internal/fleet/client.go
+++ b/internal/fleet/client.go
@@ -30,6 +30,7 @@
 	Verdict string // served, refused or failed
 	Body    []byte
 	After   time.Duration // refused: how long to stay away
+	Good    bool          // as the router says of it
 }
 
 // Client is a stand-in client: one connection by Thrift with many calls open.
@@ -72,9 +73,6 @@
 
 // Go sends a call; done is called once, with its answer or with what ended the connection.
 func (k *Client) Go(call Call, done func(Answer, error)) {
-	text := func(b []byte, s string) []byte { return append(binary.BigEndian.AppendUint32(b, uint32(len(s))), s...) }
-	b := text([]byte{0, 0, 0, 0, 0x80, 1, 0, 1}, "execute")
-	at := len(b)
 	fields := []string{"class", call.Class, "id", call.ID, "wait", strconv.FormatInt(call.Wait.Milliseconds(), 10), "key", call.Key}
 	if call.Props != "" {
 		fields = append(fields, "props", call.Props)
@@ -86,11 +84,45 @@
 		fields = append(fields, "once", call.Once)
 	}
 	fields = append(fields, call.More...)
-	b = append(b, 0, 0, 0, 0, 13, 0, 1, 11, 11, 0, 0, 0, byte(len(fields)/2))
+	args := []byte{13, 0, 1, 11, 11, 0, 0, 0, byte(len(fields) / 2)}
 	for _, s := range fields {
-		b = text(b, s)
+		args = appendText(args, s)
 	}
-	b = append(text(append(b, 11, 0, 2), string(call.Body)), 0)
+	k.send("execute", append(appendText(append(args, 11, 0, 2), string(call.Body)), 0), done)
+}
+
+// Check asks whether the router takes calls.
+func (k *Client) Check() (good bool, err error) {
+	ended := make(chan struct{})
+	k.send("check", []byte{0}, func(a Answer, e error) {
+		good, err = a.Good, e
+		close(ended)
+	})
+	<-ended
+	return good, err
+}
+
+// Interrupt takes a call back, by the number under which it was sent; no answer follows.
+func (k *Client) Interrupt(seq uint32) {
+	b := appendText([]byte{0, 0, 0, 0, 0x80, 1, 0, 4}, "interrupt")
+	b = append(binary.BigEndian.AppendUint32(b, 0), 8, 0, 1)
+	b = append(binary.BigEndian.AppendUint32(b, seq), 0)
+	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	delete(k.open, seq)
+	k.c.Write(b)
+}
+
+func appendText(b []byte, s string) []byte {
+	return append(binary.BigEndian.AppendUint32(b, uint32(len(s))), s...)
+}
+
+// send writes a message with its arguments under the next number.
+func (k *Client) send(name string, args []byte, done func(Answer, error)) {
+	b := appendText([]byte{0, 0, 0, 0, 0x80, 1, 0, 1}, name)
+	at := len(b)
+	b = append(append(b, 0, 0, 0, 0), args...)
 	binary.BigEndian.PutUint32(b, uint32(len(b)-4))
 	k.mu.Lock()
 	if err := k.broken; err != nil {
@@ -194,7 +226,7 @@
 		take(2)
 		switch typ {
 		case 2:
-			take(1)
+			a.Good = take(1)[0] == 1
 		case 11:
 			a.Body = append([]byte(nil), text()...)
 		case 13:
--- a/internal/lab/core.go
+++ b/internal/lab/core.go
@@ -63,7 +63,8 @@
 		b.core.AttemptEnded(a, router.Reply{Outcome: policy.Served, Note: policy.WasWarm, Report: []float64{1}})
 	})
 }
-func (b *bench) Stop(policy.WorkerID, router.Attempt) {}
+func (b *bench) Stop(policy.WorkerID, router.Attempt)          {}
+func (b *bench) Withdraw(policy.WorkerID, router.Attempt) bool { return false }
 func (b *bench) Hold(w policy.WorkerID, f policy.FunctionID, _ int, tag uint64) {
 	b.after(300*time.Millisecond, func() {
 		b.until[[2]uint64{uint64(w), uint64(f)}] = b.now + 10*time.Second
--- a/internal/loop/loop.go
+++ b/internal/loop/loop.go
@@ -25,7 +25,11 @@
 	maxUnwritten = 640 << 10 // bytes a peer may leave unread: 32 answers of 16 KiB and their heads
 	readBuffer   = 32 << 10  // of the one poller, not of each connection
 	maxVectors   = 512       // buffers in one gathered write; the kernel takes 1,024
-	maxAccepts   = 8         // accepted connections that wait for the loop; beyond it none is accepted
+
+	// maxReads is how many buffers the poller reads of a connection in one go. nbio drops what it has not read when it
+	// hears of the peer's end, so they hold all that one may owe: a worker's 32 answers of 16 KiB and their heads.
+	maxReads   = maxUnwritten / readBuffer
+	maxAccepts = 8 // accepted connections that wait for the loop; beyond it none is accepted
 
 	// An accepted connection on which nothing is owed is closed when it has said nothing for idleAfter.
 	// One that never sent a whole message, or sent the beginning of one, has messageWithin for it: bytes
@@ -39,6 +43,7 @@
 
 	sweepEvery  = 200 * time.Millisecond
 	acceptPause = 20 * time.Millisecond
+	roomTries   = 4         // times that idle clients make room for one dial that found no descriptor
 	epoch       = time.Hour // the clock's first reading, so that earlier instants are positive too
 )
 
@@ -174,6 +179,7 @@
 	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, max(l.cfg.MaxFiles, 1024)*2)
 	bound := bindings{}
 	conf := nbio.Config{Network: "tcp", NPoller: 1, ReadBufferSize: readBuffer, MaxWriteBufferSize: maxUnwritten,
+		MaxConnReadTimesPerEventLoop: maxReads,
 		Listen: func(network, addr string) (net.Listener, error) {
 			ln, err := net.Listen(network, addr)
 			if err == nil {
@@ -212,6 +218,9 @@
 	l.engine.OnAcceptError(func(err error) {
 		// Out of descriptors accept fails at once, and nbio would call it again without end.
 		slog.Warn("accept_failed", "err", err)
+		if NoDescriptor(err) {
+			l.Post(func() { l.evict() })
+		}
 		time.Sleep(acceptPause)
 	})
 	if err := l.engine.Start(); err != nil {
@@ -444,21 +453,50 @@
 func (l *Loop) Dial(network, addr string, timeout time.Duration, h Dialled) *Conn {
 	c := &Conn{loop: l, h: h}
 	go func() {
-		var nc *nbio.Conn
-		std, err := dialer(network, timeout).Dial(network, addr)
+		nc, err := connect(network, addr, timeout)
+		for n := 0; n < roomTries && NoDescriptor(err) && l.MakeRoom(); n++ {
+			nc, err = connect(network, addr, timeout)
+		}
 		if err == nil {
-			if nc, err = adopt(std); err == nil {
-				nc.SetSession(c)
-				_, err = l.engine.AddConn(nc)
-			} else {
-				std.Close()
-			}
+			nc.SetSession(c)
+			_, err = l.engine.AddConn(nc)
 		}
 		l.push(item{conn: c, nc: nc, err: err, kind: gotDial})
 	}()
 	return c
 }
 
+// connect opens a connection and makes it nbio's. For a moment it takes two descriptors.
+func connect(network, addr string, timeout time.Duration) (*nbio.Conn, error) {
+	std, err := dialer(network, timeout).Dial(network, addr)
+	if err != nil {
+		return nil, err
+	}
+	nc, err := adopt(std)
+	if err != nil {
+		std.Close()
+	}
+	return nc, err
+}
+
+// NoDescriptor tells whether an error is of this machine and says nothing of a peer: no descriptor or buffer is left.
+func NoDescriptor(err error) bool {
+	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS)
+}
+
+// MakeRoom has an idle client's connection give up its descriptor, and tells whether there was one. Clients may hold
+// all that are left; the directory and the workers must be reached all the same. It is not for the loop's goroutine.
+func (l *Loop) MakeRoom() bool {
+	made := make(chan bool, 1)
+	l.Post(func() { made <- l.evict() })
+	select {
+	case ok := <-made:
+		return ok
+	case <-time.After(time.Second): // the loop has ended, or is held up
+		return false
+	}
+}
+
 // dialer opens sockets of a network. Those for datagrams are bound before they are connected, to what the system
 // would choose too: not every system tells the address of one that was only connected, and nbio needs it.
 func dialer(network string, timeout time.Duration) *net.Dialer {
@@ -580,11 +618,11 @@
 	c.loop.unread.Add(int64(n))
 }
 
-// Unwritten is how many bytes accepted peers have yet to take.
+// Unwritten is how many bytes accepted peers have yet to take, what this turn queued for them included.
 func (l *Loop) Unwritten() int {
 	sum := int64(0)
 	for c := range l.accepted {
-		sum += c.unread.Load()
+		sum += c.unread.Load() + int64(size(c.out))
 	}
 	return int(sum)
 }
--- a/internal/resp/dial.go
+++ b/internal/resp/dial.go
@@ -4,9 +4,9 @@
 	"errors"
 	"log/slog"
 	"slices"
-	"syscall"
 	"time"
 
+	"crankhold/internal/loop"
 	"crankhold/internal/path"
 	"crankhold/policy"
 )
@@ -72,7 +72,7 @@
 	if err != nil {
 		p.Count.DialsFailed++
 		slog.Warn("dial_failed", "addr", d.addr, "err", err)
-		if !ours(err) {
+		if !loop.NoDescriptor(err) {
 			w.paths.Failed(p.now, d.addr)
 		}
 		if c.race.Ended() {
@@ -106,11 +106,6 @@
 	}
 }
 
-// ours tells whether an error is of this machine and tells nothing of an address: no descriptor is left.
-func ours(err error) bool {
-	return errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.ENOBUFS)
-}
-
 // trial is a connection that carries nothing but a NOOP, by which an address that failed shows that it works.
 type trial struct {
 	pool  *Pool
@@ -165,7 +160,7 @@
 	switch {
 	case err == nil:
 		t.w.paths.Up(t.pool.now, t.addr)
-	case ours(err):
+	case loop.NoDescriptor(err):
 		t.w.paths.Undecided(t.pool.now, t.addr)
 	default:
 		t.pool.Count.TrialsFailed++
--- a/internal/resp/model_test.go
+++ b/internal/resp/model_test.go
@@ -444,7 +444,7 @@
 	{"an error counts as turned away", "internal/resp/pool.go", `"FAULT": policy.Errored`, `"FAULT": policy.Full`},
 	{"dials that lost the race go on", "internal/resp/dial.go", "\t\td.end()\n\t\td.line.Close()", "\t\td.end()"},
 	{"a trial's connection stays", "internal/resp/dial.go", "t.pool.dials--\n\tt.line.Close()", "t.pool.dials--"},
-	{"a call that was given up is sent all the same", "internal/resp/pool.go", "\t\tc.unqueue(k)\n\t\treturn", "\t\treturn"},
+	{"a call that was given up is sent all the same", "internal/resp/pool.go", "\tk.conn.unqueue(k)\n\treturn true", "\treturn true"},
 	{"the module repeats what must not be", "policy/policy.go", "return c.Repeat == Keyed && p.now", "return c.Repeat == Unsafe || c.Repeat == Keyed && p.now"},
 	{"a lost race is never told", "internal/path/race.go", "return !r.won && r.out == 0 && len(r.left) == 0", "return false"},
 }
--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -66,6 +66,7 @@
 	Wanted       time.Duration // within which the slowest class wants its answers
 	PerConn      int           // calls at a time on one connection
 	MaxConns     int           // to all workers together
+	MayStop      bool          // workers may be told that a call is given up
 	Seed         uint64        // spreads the back-offs of addresses that failed
 	Dial         func(network, addr string, timeout time.Duration, h loop.Dialled) Line
 }
@@ -229,21 +230,30 @@
 	p.sink.AttemptEnded(a, router.Reply{Outcome: policy.Unreachable})
 }
 
-// Stop gives a call up. Its connection does not carry its id again: an answer on its way must not end
-// another attempt of the same request.
-func (p *Pool) Stop(_ policy.WorkerID, a router.Attempt) {
+// Stop gives a call up that was written. Its connection does not carry its id again: an answer on its way must not
+// end another attempt of the same request.
+func (p *Pool) Stop(id policy.WorkerID, a router.Attempt) {
 	k := p.calls[a]
-	if k == nil {
+	if k == nil || p.Withdraw(id, a) {
 		return
 	}
 	delete(p.calls, a)
-	c := k.conn
-	if !k.written {
-		c.unqueue(k)
-		return
+	k.conn.take(k)
+	if p.cfg.MayStop {
+		k.conn.put(array("STOP", k.token))
 	}
-	c.take(k)
-	c.put(array("STOP", k.token))
+}
+
+// Withdraw takes back a call that waits behind a dial, and tells whether it did: then nothing of it has left, nor
+// ever will.
+func (p *Pool) Withdraw(_ policy.WorkerID, a router.Attempt) bool {
+	k := p.calls[a]
+	if k == nil || k.written {
+		return false
+	}
+	delete(p.calls, a)
+	k.conn.unqueue(k)
+	return true
 }
 
 // Hold sends an order to load; a count of 0 only asks.
--- a/internal/resp/resp_test.go
+++ b/internal/resp/resp_test.go
@@ -42,7 +42,7 @@
 	s := &sink{map[router.Attempt][]policy.Outcome{}, map[uint64][]policy.Outcome{}, map[router.Attempt]router.Reply{}}
 	var lines []*line
 	p := New(Config{Classes: []string{"dim-level"}, ReportFields: []string{"inflight"}, DialTimeout: time.Second,
-		KeepAlive: 30 * time.Second, PerConn: 2, MaxConns: 100, Dial: func(_, _ string, _ time.Duration, h loop.Dialled) Line {
+		KeepAlive: 30 * time.Second, PerConn: 2, MaxConns: 100, MayStop: true, Dial: func(_, _ string, _ time.Duration, h loop.Dialled) Line {
 			lines = append(lines, &line{h: h})
 			return lines[len(lines)-1]
 		}}, s)
--- /dev/null
+++ b/internal/resp/withdraw_test.go
@@ -0,0 +1,84 @@
+package resp
+
+import (
+	"errors"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"crankhold/internal/loop"
+	"crankhold/internal/router"
+)
+
+// Guards clients that leave while their call waits for a connection: what is taken back is not written when the dial
+// comes up, nor moved to the next connection, and nobody is told of its end. What was written can't be taken back.
+func TestACallBehindADialIsTakenBack(t *testing.T) {
+	for _, end := range []string{"comes up", "fails", "ends under it"} {
+		p, s, lines := newPool()
+		gone, stays := router.Attempt{Request: 1}, router.Attempt{Request: 2}
+		p.Run(1, gone, request("0123456789abcdef"), time.Second)
+		p.Run(1, stays, request("fedcba9876543210"), time.Second)
+		if !p.Withdraw(1, gone) || p.Withdraw(1, gone) {
+			t.Fatalf("%s: not taken back once", end)
+		}
+		l := (*lines)[0]
+		switch end {
+		case "comes up":
+			l.h.Opened(nil)
+			if p.Withdraw(1, stays) {
+				t.Error("a call that was written was taken back")
+			}
+		case "fails":
+			l.h.Opened(errors.New("refused"))
+		case "ends under it":
+			l.h.Opened(nil)
+			l.Left = l.Wrote.Len() // none of it left
+			l.h.Closed(errors.New("reset"))
+			(*lines)[1].h.Opened(nil)
+		}
+		for _, l := range *lines {
+			if strings.Contains(l.Wrote.String(), "0123456789abcdef") {
+				t.Errorf("%s: written all the same: %q", end, l.Wrote.String())
+			}
+		}
+		if len(s.ended[gone]) != 0 {
+			t.Errorf("%s: ended as %v", end, s.ended[gone])
+		}
+		if sent := strings.Contains((*lines)[len(*lines)-1].Wrote.String(), "fedcba9876543210"); sent == (end == "fails") {
+			t.Errorf("%s: the other call was sent: %v", end, sent)
+		}
+	}
+}
+
+// Guards workers that may not be told of calls that are given up: they are not, and the id is not used again there.
+func TestNoWorkerIsToldOfAnEndWhereItMayNot(t *testing.T) {
+	for _, may := range []bool{true, false} {
+		p, _, lines := newPool()
+		p.cfg.MayStop = may
+		a := router.Attempt{Request: 1}
+		p.Run(1, a, request("0123456789abcdef"), time.Second)
+		l := (*lines)[0]
+		l.h.Opened(nil)
+		p.Stop(1, a)
+		if told := strings.Contains(l.Wrote.String(), "STOP\r\n"); told != may {
+			t.Errorf("may %v, told %v", may, told)
+		}
+		p.Run(1, router.Attempt{Request: 1, Number: 1}, request("0123456789abcdef"), time.Second)
+		if n := strings.Count(l.Wrote.String(), "RUN\r\n"); n != 1 || len(*lines) != 2 {
+			t.Errorf("the id went %d times over one connection of %d", n, len(*lines))
+		}
+	}
+}
+
+// A worker that can't be dialled because no descriptor is left here is no worse for it.
+func TestNoDescriptorSaysNothingOfAnAddress(t *testing.T) {
+	for _, err := range []error{syscall.EMFILE, errors.New("refused")} {
+		p, _, lines := newPool()
+		p.Run(1, router.Attempt{Request: 1}, request("0123456789abcdef"), time.Second)
+		(*lines)[0].h.Opened(err)
+		if down := p.workers[1].paths.Down(); (down == 0) != loop.NoDescriptor(err) {
+			t.Errorf("%v: %d addresses are down", err, down)
+		}
+	}
+}
--- /dev/null
+++ b/internal/router/leave_test.go
@@ -0,0 +1,96 @@
+package router
+
+import (
+	"testing"
+	"time"
+
+	"crankhold/policy"
+)
+
+// Guards clients that leave, and calls that are given up, while an attempt waits behind a dial: it is taken back at
+// once, also where the settings don't let the module call anything off, and nothing is sent for it when the dial comes
+// up. A call that was written stays where it is.
+func TestWhatWaitsBehindADialEndsWithItsCall(t *testing.T) {
+	for _, mayCancel := range []bool{true, false} {
+		for _, end := range []string{"leaves", "times out"} {
+			c, w := newCoreThat(t, 1, mayCancel)
+			c.SetList(policy.WorkerList{Kind: policy.ListWhole, Workers: []policy.WorkerEntry{{Worker: 1, State: policy.Ready}}})
+			now := time.Hour
+			c.Turn(now)
+			k := &asker{core: c}
+			w.dials = true
+			id := c.Take(now, Request{Asker: k, ID: "a", Key: "00000000000000aa", Function: 0xaa, Deadline: now + 2*time.Second})
+			c.Turn(now)
+			if len(w.queue) != 1 {
+				t.Fatalf("%d calls wait behind a dial", len(w.queue))
+			}
+			if end == "leaves" {
+				now += 10 * ms
+				c.Leave(now, id)
+			} else {
+				now += 3 * time.Second
+			}
+			c.Turn(now)
+			if len(w.queue) != 0 || len(w.out) != 0 {
+				t.Errorf("may cancel %v: after the client %s, %d calls wait behind a dial and %d are out", mayCancel, end, len(w.queue), len(w.out))
+			}
+			want := 0
+			if end == "times out" {
+				want = 1
+			}
+			if len(k.answers) != want || c.Open() != 0 || len(c.reqs) != 0 || len(c.ids) != 0 {
+				t.Errorf("may cancel %v: the client %s: answers %v, %d open, %d kept", mayCancel, end, k.answers, c.Open(), len(c.reqs))
+			}
+			if want == 1 && (k.answers[0].Verdict != Refused || k.answers[0].MayHaveRun) {
+				t.Errorf("a call that never left was answered %+v", k.answers[0])
+			}
+			for later := now; later < now+5*time.Second; later += 50 * ms {
+				if c.Turn(later); len(w.runs[id]) != 1 {
+					t.Fatalf("sent %d times", len(w.runs[id]))
+				}
+			}
+		}
+	}
+}
+
+// A call that is taken back widens no ration, though its attempt waited behind a dial: the module orders as often as
+// without such calls.
+func TestCallsTakenBackBehindADialWidenNoRation(t *testing.T) {
+	for _, back := range []int{0, 3} {
+		c, w := newCore(t, 1)
+		c.SetList(policy.WorkerList{Kind: policy.ListWhole, Workers: []policy.WorkerEntry{{Worker: 1, State: policy.Ready}, {Worker: 2, State: policy.Ready}}})
+		now, ids := time.Hour, uint64(0)
+		c.Turn(now)
+		take := func() policy.RequestID {
+			ids++
+			id := c.Take(now, Request{Asker: &asker{core: c}, ID: idOf(ids), Key: idOf(ids), Function: policy.FunctionID(ids), Deadline: now + 2*time.Second})
+			c.Turn(now)
+			return id
+		}
+		for range 200 {
+			w.dials = true
+			for range back {
+				id := take()
+				c.Leave(now, id)
+				c.Turn(now)
+			}
+			w.dials = false
+			id := take()
+			for n := 0; n < len(w.runs[id]); n++ { // it misses once, and is served where it goes next
+				a := w.runs[id][n]
+				delete(w.out, a)
+				c.AttemptEnded(a, Reply{Outcome: []policy.Outcome{policy.Missed, policy.Served}[min(n, 1)]})
+				c.Turn(now)
+				for tag := range w.holds {
+					delete(w.holds, tag)
+					c.HoldEnded(tag, policy.Served, 1)
+				}
+				c.Turn(now)
+			}
+			now += 5 * ms
+		}
+		if orders := c.Count.Orders; orders != 64 {
+			t.Errorf("%d calls taken back for each that stays: %d orders of 64 = 4 + 30 in 100 of 200", back, orders)
+		}
+	}
+}
--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -138,6 +138,9 @@
 	Run(w policy.WorkerID, a Attempt, r *Request, budget time.Duration)
 	// Stop gives an attempt up; it is answered no more.
 	Stop(w policy.WorkerID, a Attempt)
+	// Withdraw takes an attempt back of which nothing has left yet, and tells whether it could: then it never runs and
+	// is answered no more.
+	Withdraw(w policy.WorkerID, a Attempt) bool
 	Hold(w policy.WorkerID, f policy.FunctionID, count int, tag uint64)
 	// Forget drops interest in an order or a probe that took too long.
 	Forget(w policy.WorkerID, tag uint64)
@@ -344,6 +347,17 @@
 			return
 		}
 		c.events = append(c.events, policy.Abandoned{Request: id})
+		c.withdraw(id, e)
+	}
+}
+
+// withdraw takes back what waits to be sent for a request that has had its end. The module calls off only what the
+// settings let it, and what has not left needs nobody's leave.
+func (c *Core) withdraw(id policy.RequestID, e *entry) {
+	for n := range e.attempts {
+		if t := &e.attempts[n]; !t.ended && c.workers.Withdraw(t.worker, Attempt{id, n}) {
+			c.AttemptEnded(Attempt{id, n}, Reply{Outcome: policy.Moot})
+		}
 	}
 }
 
@@ -366,6 +380,9 @@
 	}
 	c.events = append(c.events, policy.AttemptEnded{Request: a.Request, Attempt: a.Number, Worker: t.worker, Outcome: o,
 		Note: r.Note, Crowd: r.Crowd, Closed: e.done, Took: c.now - t.sent, Report: r.Report})
+	if o == policy.Served {
+		c.withdraw(a.Request, e)
+	}
 	c.release(a.Request, e)
 }
 
@@ -484,10 +501,15 @@
 	c.workers.Run(a.Worker, id, &e.Request, left)
 }
 
-// cancel gives an attempt up. Whether the worker stops is up to the worker: it may have run.
+// cancel gives an attempt up. Whether the worker stops is up to the worker: it may have run, unless it never left
+// because the worker could not be reached.
 func (c *Core) cancel(a Attempt, o policy.Outcome) {
 	if e := c.reqs[a.Request]; e != nil && a.Number < len(e.attempts) && !e.attempts[a.Number].ended {
-		c.workers.Stop(e.attempts[a.Number].worker, a)
+		if w := e.attempts[a.Number].worker; c.workers.Withdraw(w, a) {
+			o = policy.Unreachable
+		} else {
+			c.workers.Stop(w, a)
+		}
 		c.AttemptEnded(a, Reply{Outcome: o})
 	}
 }
@@ -505,6 +527,7 @@
 	}
 	e.Asker.Answered(a)
 	c.close(id, e, end)
+	c.withdraw(id, e)
 }
 
 // finalMargin is how close to its deadline an unanswered request counts as out of time; the
--- a/internal/router/router_test.go
+++ b/internal/router/router_test.go
@@ -21,6 +21,17 @@
 	runs  map[policy.RequestID][]Attempt
 	holds map[uint64]bool
 	asks  map[uint64]bool
+	queue map[Attempt]bool // out, but behind a dial
+	dials bool             // what is sent from now on waits behind one
+}
+
+func (w *workers) Withdraw(_ policy.WorkerID, a Attempt) bool {
+	waits := w.queue[a]
+	if waits {
+		delete(w.queue, a)
+		delete(w.out, a)
+	}
+	return waits
 }
 
 func (w *workers) Run(id policy.WorkerID, a Attempt, r *Request, budget time.Duration) {
@@ -28,6 +39,9 @@
 		panic(fmt.Sprintf("budget %v at %v, deadline %v", budget, w.core.now, r.Deadline))
 	}
 	w.out[a] = id
+	if w.dials {
+		w.queue[a] = true
+	}
 	w.runs[a.Request] = append(w.runs[a.Request], a)
 }
 func (w *workers) Stop(_ policy.WorkerID, a Attempt)                            { delete(w.out, a) }
@@ -48,8 +62,10 @@
 	k.answers, k.at = append(k.answers, a), append(k.at, k.core.now)
 }
 
-func newCore(t rapid.TB, seed uint64) (*Core, *workers) {
-	p, err := policy.New(policy.Config{Peers: 1, Tick: 4 * ms, MaxAttempts: 3, MayCancel: true, MayProbe: true, MayOrder: true,
+func newCore(t rapid.TB, seed uint64) (*Core, *workers) { return newCoreThat(t, seed, true) }
+
+func newCoreThat(t rapid.TB, seed uint64, mayCancel bool) (*Core, *workers) {
+	p, err := policy.New(policy.Config{Peers: 1, Tick: 4 * ms, MaxAttempts: 3, MayCancel: mayCancel, MayProbe: true, MayOrder: true,
 		MissWhenCold: true, WarmNotes: true, SecondAttempts: true, RetryAfter: true, MaxRetryAfter: time.Second, OverShareWorth: 1,
 		KeepAlive: 10 * time.Second, OrderTimeout: 10 * time.Second, LoadWindow: 10 * time.Second, LoadFree: 4, LoadShare: 0.3,
 		DrainGrace: time.Second, ReportFields: []string{"inflight"}, ReportInline: true,
@@ -61,7 +77,7 @@
 	}
 	c := New(p, Limits{MaxOpen: 50, MaxBytes: 1 << 16, MaxAttempts: 3, OrderTimeout: 10 * time.Second, ProbeTimeout: 250 * ms})
 	w := &workers{core: c, out: map[Attempt]policy.WorkerID{}, runs: map[policy.RequestID][]Attempt{},
-		holds: map[uint64]bool{}, asks: map[uint64]bool{}}
+		holds: map[uint64]bool{}, asks: map[uint64]bool{}, queue: map[Attempt]bool{}}
 	c.Use(w)
 	return c, w
 }
--- a/internal/router/tenants_test.go
+++ b/internal/router/tenants_test.go
@@ -47,6 +47,7 @@
 
 func (silentWorkers) Run(policy.WorkerID, Attempt, *Request, time.Duration) {}
 func (silentWorkers) Stop(policy.WorkerID, Attempt)                         {}
+func (silentWorkers) Withdraw(policy.WorkerID, Attempt) bool                { return false }
 func (silentWorkers) Hold(policy.WorkerID, policy.FunctionID, int, uint64)  {}
 func (silentWorkers) Forget(policy.WorkerID, uint64)                        {}
 func (silentWorkers) Free(policy.WorkerID, policy.FunctionID)               {}
--- /dev/null
+++ b/internal/service/gone_test.go
@@ -0,0 +1,94 @@
+package service
+
+import (
+	"path/filepath"
+	"slices"
+	"sync"
+	"testing"
+
+	"crankhold/internal/fleet"
+	"crankhold/internal/platform"
+)
+
+// Guards a client that goes, by closing or by an interrupt, while its call waits behind a dial that hangs: when the dial
+// comes up its call is not sent, also where the settings don't let the module call anything off. The call of a client
+// that stays, taken after it, is. Each step waits for an answer that can only come after the step before.
+func TestAClientThatWentIsNotSentWhenTheDialComesUp(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		cancel bool
+		goes   func(k *fleet.Client)
+	}{
+		{"closes", true, (*fleet.Client).Close}, {"closes, nothing may be called off", false, (*fleet.Client).Close},
+		{"interrupts, nothing may be called off", false, func(k *fleet.Client) { k.Interrupt(1) }},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			var mu sync.Mutex
+			var ran []string
+			site, listen, config := siteFor(t, 1, func(e fleet.Event) {
+				if e.What == "run" {
+					mu.Lock()
+					ran = append(ran, e.ID)
+					mu.Unlock()
+				}
+			})
+			limits := config["settings"].(map[string]any)["limits"].(map[string]any)
+			limits["cancel"], limits["dialTimeoutMs"] = tt.cancel, 20000
+			path := filepath.Join(t.TempDir(), "config.json")
+			writeConfig(t, path, config)
+			cfg, err := platform.Read(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] })
+			if err != nil {
+				t.Fatal(err)
+			}
+			port := site.Workers[0].Ports()[0]
+			if err := port.Set("full"); err != nil {
+				t.Fatal(err)
+			}
+			stop, ended := make(chan struct{}), make(chan error, 1)
+			go func() { ended <- Serve(cfg, Options{Stop: stop}, nil) }()
+			defer func() {
+				close(stop)
+				if err := <-ended; err != nil {
+					t.Error(err)
+				}
+			}()
+			client := func() (k *fleet.Client) {
+				for k == nil {
+					k, _ = fleet.Dial(listen)
+				}
+				return k
+			}
+			check := func(k *fleet.Client) { // answered at the end of a turn, after all that came before it
+				t.Helper()
+				if _, err := k.Check(); err != nil {
+					t.Fatal(err)
+				}
+			}
+			goes, stays := client(), client()
+			defer goes.Close()
+			defer stays.Close()
+			gone, kept := callOf(1), callOf(2)
+			gone.Wait, kept.Wait = 20e9, 20e9
+			goes.Go(gone, func(fleet.Answer, error) {})
+			check(goes) // the dial has begun
+			tt.goes(goes)
+			for range 3 {
+				check(stays) // the end, which came before, has been read
+			}
+			answer := make(chan fleet.Answer, 1)
+			stays.Go(kept, func(a fleet.Answer, _ error) { answer <- a })
+			check(stays)
+			if err := port.Set("well"); err != nil {
+				t.Fatal(err)
+			}
+			if a := <-answer; a.Verdict != "served" {
+				t.Errorf("the call of the client that stayed: %+v", a)
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			if !slices.Equal(ran, []string{kept.ID}) {
+				t.Errorf("ran %v, of which only %s was wanted", ran, kept.ID)
+			}
+		})
+	}
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -6,7 +6,6 @@
 import (
 	"log/slog"
 	"os"
-	"os/signal"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -18,6 +17,7 @@
 	"crankhold/internal/resp"
 	"crankhold/internal/route"
 	"crankhold/internal/router"
+	"crankhold/internal/signals"
 	"crankhold/internal/thrift"
 	"crankhold/policy"
 )
@@ -32,6 +32,12 @@
 	flushFor     = 3500 * time.Millisecond
 	probeTimeout = 250 * time.Millisecond
 	procs        = 4 // so that a poller asleep in the kernel does not hold up the loop
+	rereadTries  = 4 // times that idle clients make room for a file that is to be read again
+
+	// listWithin is how long a router that starts with an empty list waits for the directory to tell it of a worker or
+	// that there is none. Then it takes calls all the same, and has them wait for a worker: the directory may be
+	// down for longer than a start may take.
+	listWithin = 2 * time.Second
 )
 
 // Options says what a service reads beside the platform's configuration; "" for no file.
@@ -44,18 +50,17 @@
 	// RoutesMay has a routes file that isn't there count as none, at a start and at a reload.
 	RoutesMay bool
 	Stop      <-chan struct{} // has it stop as SIGTERM does; may be nil
+	// Signals are those that were caught since the program began; nil: Serve catches them.
+	Signals *signals.Caught
 }
 
 // Serve runs the function router until a signal ends it. On SIGHUP it takes over what reread returns, and reads
 // the routes again.
 func Serve(c *platform.Config, opts Options, reread func() (*platform.Config, error)) error {
-	// Two channels, so that SIGHUPs in a row can't crowd out a SIGTERM. One that comes while a file is
-	// being read has it read once more; further ones add nothing.
-	signals, hangups := make(chan os.Signal, 4), make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
-	signal.Notify(hangups, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	defer signal.Stop(hangups)
+	if opts.Signals == nil {
+		opts.Signals = signals.Catch()
+	}
+	defer opts.Signals.Release()
 	runtime.GOMAXPROCS(procs)
 	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
 	module, err := policy.New(c.Module, c.Random)
@@ -75,12 +80,12 @@
 		Tenants: c.TenantNames()})
 	pool := resp.New(resp.Config{Classes: c.ClassNames(), ReportFields: c.Module.ReportFields,
 		DialTimeout: platform.Millis(c.Network.Limits.DialTimeoutMs), KeepAlive: platform.Millis(c.Network.Limits.KeepaliveMs),
-		Wanted: wanted, PerConn: c.Network.Limits.StreamsPerConn, MaxConns: c.WorkerConns(),
+		Wanted: wanted, PerConn: c.Network.Limits.StreamsPerConn, MaxConns: c.WorkerConns(), MayStop: c.Module.MayCancel,
 		Seed: c.Random, Dial: func(network, addr string, timeout time.Duration, h loop.Dialled) resp.Line {
 			return lp.Dial(network, addr, timeout, h)
 		}}, core)
 	core.Use(pool)
-	staff := &staff{lp: lp, core: core, pool: pool, c: c}
+	staff := newStaff(lp, core, pool, c)
 	names := directory.New(c.Names, c.Random, c.Module.DrainGrace,
 		func(addr string, h loop.Dialled) directory.Line { return lp.Dial("udp", addr, time.Second, h) },
 		staff.follow)
@@ -105,8 +110,11 @@
 		return err
 	}
 	stopping := time.Duration(0)
-	// Good once there is a worker to send to, and no longer once we stop.
-	front := thrift.New(core, calls, lp.Now, func() bool { return names.Size() > 0 && stopping == 0 })
+	// Good once there is a worker to send to or no word of one is to be waited for, and no longer once we stop.
+	begun := lp.Now()
+	front := thrift.New(core, calls, lp.Now, func() bool {
+		return stopping == 0 && (names.Size() > 0 || names.Heard > 0 || lp.Now()-begun >= listWithin)
+	})
 	lp.Listen(c.Listen, front.Accept)
 	if err := lp.Start(); err != nil {
 		return err
@@ -118,8 +126,11 @@
 	go func() {
 		for {
 			select {
-			case <-hangups: // the file is read and checked here, so that calls go on meanwhile
+			case <-opts.Signals.Reload: // the file is read and checked here, so that calls go on meanwhile
 				fresh, err := reread()
+				for n := 0; n < rereadTries && loop.NoDescriptor(err) && lp.MakeRoom(); n++ {
+					fresh, err = reread()
+				}
 				var routes *route.Table
 				var wrong error
 				if err == nil {
@@ -135,7 +146,7 @@
 		for {
 			var s os.Signal
 			select {
-			case s = <-signals:
+			case s = <-opts.Signals.Stop:
 			case <-opts.Stop:
 				s, opts.Stop = syscall.SIGTERM, nil
 			case <-ended:
--- a/internal/service/staff.go
+++ b/internal/service/staff.go
@@ -52,14 +52,55 @@
 	pool *resp.Pool
 	c    *platform.Config
 	list []directory.Worker
+	left map[string]bool          // names that were listed and then were not: their processes have ended
+	back map[string]time.Duration // when a name of those was listed again
 }
 
-// follow takes in a list of the directory's.
+func newStaff(lp *loop.Loop, core *router.Core, pool *resp.Pool, c *platform.Config) *staff {
+	return &staff{lp: lp, core: core, pool: pool, c: c, left: map[string]bool{}, back: map[string]time.Duration{}}
+}
+
+// mostLeft bounds the names that are remembered after they left.
+const mostLeft = 4096
+
+// follow takes in a list of the directory's. One without any worker says nothing of the processes that it leaves out.
 func (s *staff) follow(list []directory.Worker) {
+	if len(list) > 0 {
+		s.returned(list)
+	}
 	s.list = list
 	s.again()
 }
 
+// returned notes which names were left out of a list and are back. Such a name is another process's, and as cold as
+// any that starts, though the directory tells no start of it.
+func (s *staff) returned(list []directory.Worker) {
+	if len(s.left) > mostLeft { // they left for good, as a rule: new processes have new names
+		clear(s.left)
+	}
+	listed := map[string]bool{}
+	for _, w := range list {
+		if listed[w.Name] = true; s.left[w.Name] {
+			delete(s.left, w.Name)
+			s.back[w.Name] = s.lp.Now()
+		}
+	}
+	for _, w := range s.list {
+		if !listed[w.Name] {
+			s.left[w.Name] = true
+			delete(s.back, w.Name)
+		}
+	}
+}
+
+// started is when a worker's process started, or 0 where it has been listed since the start and the list tells none.
+func (s *staff) started(w directory.Worker) time.Duration {
+	if w.Started == 0 {
+		return s.back[w.Name]
+	}
+	return max(s.lp.FromUnix(time.UnixMilli(w.Started)), 1)
+}
+
 // again hands the list out. Entries that lead to one process are one worker: it drains as soon as one of them does.
 // It is known by all their names together, so that when one of them leaves the list, the process that it named has
 // ended and what is left is another worker.
@@ -82,25 +123,21 @@
 			Zone: max(slices.Index(s.c.Network.FailureDomains, first.Zone), 0)}
 		var addrs []path.Addr
 		var prefer []path.Network
-		started := int64(0)
 		for _, i := range group {
 			w := s.list[i]
 			if w.State != policy.Ready {
 				e.State = w.State
 			}
-			started = max(started, w.Started)
+			e.Started = max(e.Started, s.started(w))
 			e.Weight = max(e.Weight, w.Weight)
 			addrs = append(addrs, members[i].Addrs...)
 			prefer = append(prefer, static[i].Prefer...)
 			labels = append(labels, route.Worker{ID: e.Worker, Name: w.Name, Kind: w.Kind, Zone: w.Zone, Cell: w.Cell, MemoryMB: s.c.KindMemoryMB(w.Kind)})
 		}
-		if started > 0 {
-			e.Started = max(s.lp.FromUnix(time.UnixMilli(started)), 1)
-		}
 		present[e.Worker] = true
 		s.pool.Set(e.Worker, addrs, e.State, prefer...)
 		l.Workers = append(l.Workers, e)
-		slog.Info("worker", "name", key, "addrs", fmt.Sprint(addrs), "state", e.State, "weight", e.Weight, "started", started)
+		slog.Info("worker", "name", key, "addrs", fmt.Sprint(addrs), "state", e.State, "weight", e.Weight, "started", first.Started)
 	}
 	s.pool.Retain(present)
 	s.core.SetList(l)
--- a/internal/service/staff_test.go
+++ b/internal/service/staff_test.go
@@ -39,7 +39,7 @@
 			return l
 		}}, core)
 	core.Use(pool)
-	p.staff = &staff{lp: loop.New(loop.Config{}), core: core, pool: pool, c: &platform.Config{}}
+	p.staff = newStaff(loop.New(loop.Config{}), core, pool, &platform.Config{})
 	return p
 }
 
@@ -137,3 +137,36 @@
 		t.Error("the pool does not pick the worker by its second name")
 	}
 }
+
+// Guards the ramp: a name that had left the list and is back is a new process, as cold as any, though the directory tells
+// no start of it. A start that it tells goes before that, and a list without any worker says of none that it ended.
+func TestAWorkerThatReturnsIsCold(t *testing.T) {
+	p := newPost(t)
+	one, two := entry(t, "s-1", policy.Ready, "127.0.0.1:1"), entry(t, "s-2", policy.Ready, "127.0.0.1:2")
+	lists := func(of ...[]directory.Worker) {
+		for _, list := range of {
+			p.follow(list)
+		}
+	}
+	both, alone := []directory.Worker{one, two}, []directory.Worker{two}
+	lists(both, both)
+	if p.started(one) != 0 {
+		t.Error("a worker that was there all along counts as started")
+	}
+	lists(nil, both)
+	if p.started(one) != 0 {
+		t.Error("an empty list made all workers cold")
+	}
+	lists(alone, both)
+	if at := p.started(one); at != p.lp.Now() || p.started(two) != 0 {
+		t.Errorf("the one that returned counts as started at %v, the other at %v", at, p.started(two))
+	}
+	lists(both)
+	if p.started(one) != p.lp.Now() {
+		t.Error("a further list forgot the start")
+	}
+	one.Started = time.Now().Add(-time.Second).UnixMilli()
+	if at := p.started(one); at >= p.lp.Now() {
+		t.Errorf("a start that is told counts as %v", at)
+	}
+}
--- a/internal/virtual/fleet.go
+++ b/internal/virtual/fleet.go
@@ -6,9 +6,13 @@
 import (
 	"container/heap"
 	"fmt"
+	"maps"
+	"math"
 	"math/rand/v2"
+	"slices"
 	"time"
 
+	"crankhold/internal/route"
 	"crankhold/internal/router"
 	"crankhold/policy"
 )
@@ -18,9 +22,13 @@
 	Routers, Workers, Functions int
 	Settings                    policy.Config // Peers is set to the number of routers
 	Tenants                     []string
-	Work                        time.Duration // of a call at a worker
-	Slots                       int           // calls that a worker works on at a time; as many again wait, and what comes beyond is turned away
-	Load                        time.Duration // a copy's
+	Work                        time.Duration       // of a call at a worker
+	Slots                       int                 // calls that a worker works on at a time; as many again wait, and what comes beyond is turned away
+	Load                        time.Duration       // a copy's
+	Copies                      int                 // that a worker has memory for; 0: any number
+	Stays                       bool                // idle copies don't make room for others
+	Uneven                      bool                // some routers get several times the mean of the calls
+	Routes                      func() *route.Table // nil: none
 	Seed                        uint64
 }
 
@@ -33,19 +41,27 @@
 	rng     *rand.Rand
 	Routers []*Router
 	Workers map[policy.WorkerID]*Worker
+	truth   map[policy.WorkerID]policy.WorkerEntry // what the directory has to tell beside the workers of the start
 	ids     uint64
 	Calls   []*Call
+	version map[policy.FunctionID]policy.FunctionID // of what is called, where it is not the first
 }
 
 // Router is one router of the fleet. It carries its core's messages to the workers.
 type Router struct {
 	fleet *Fleet
 	core  *router.Core
+	life  uint64        // how often it was started
+	share float64       // of the calls
 	turn  time.Duration // when the core is to be called next; earlier wakes than that are stale
 	told  map[policy.WorkerID]time.Duration
+	known map[policy.WorkerID]policy.WorkerEntry // what it was told beside the workers of the start
 	// LateSends counts calls and orders sent to a worker later than the grace after this router was told that it drains.
 	LateSends int
-	Down      bool // its process has ended
+	// Overdrawn counts orders beyond the ration, by what this process took and ordered in the window.
+	Overdrawn      int
+	taken, ordered []time.Duration
+	Down           bool // its process has ended
 }
 
 // Worker is a stand-in worker.
@@ -53,18 +69,24 @@
 	ID     policy.WorkerID
 	held   int
 	copies map[policy.FunctionID]time.Duration // when each stands
-	Taken  []time.Duration                     // when each call came
-	down   bool
+	busy   map[policy.FunctionID]int           // calls that each works on or holds
+	used   map[policy.FunctionID]time.Duration
+	Taken  []time.Duration // when each call came
+	Loads  []time.Duration // and each order that began a load
+	Born   time.Duration   // when it started; 0: long ago
 }
 
 // Call is what became of a call.
 type Call struct {
 	Tenant  string
+	New     bool // of a function that was released anew
 	At      time.Duration
 	Left    time.Duration
 	Answers []router.Answer
 	Took    time.Duration // until the last of them
 	Late    bool          // the router that took it was told to end, and was past its linger
+	Killed  bool          // the router that took it was killed and may have owed its answer
+	taker   *Router
 	fleet   *Fleet
 }
 
@@ -91,45 +113,83 @@
 
 // New returns a fleet at an hour past the clock's start, all its workers long since warm.
 func New(cfg Config) (*Fleet, error) {
-	f := &Fleet{cfg: cfg, now: time.Hour, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), Workers: map[policy.WorkerID]*Worker{}}
 	cfg.Settings.Peers = cfg.Routers
+	f := &Fleet{cfg: cfg, now: time.Hour, rng: rand.New(rand.NewPCG(cfg.Seed, 1)), Workers: map[policy.WorkerID]*Worker{},
+		truth: map[policy.WorkerID]policy.WorkerEntry{}, version: map[policy.FunctionID]policy.FunctionID{}}
 	for i := range cfg.Workers {
 		f.addWorker(policy.WorkerID(i + 1))
 	}
-	for i := range cfg.Routers {
-		module, err := policy.New(cfg.Settings, cfg.Seed<<16+uint64(i))
-		if err != nil {
-			return nil, fmt.Errorf("virtual fleet: %w", err)
+	for range cfg.Routers {
+		r := &Router{fleet: f, share: 1}
+		if cfg.Uneven {
+			r.share += 4 * math.Pow(f.rng.Float64(), 4)
 		}
-		r := &Router{fleet: f, told: map[policy.WorkerID]time.Duration{}, core: router.New(module, router.Limits{MaxOpen: 2000, MaxBytes: 1 << 20,
-			MaxAttempts: cfg.Settings.MaxAttempts, OrderTimeout: cfg.Settings.OrderTimeout, ProbeTimeout: 250 * time.Millisecond, Tenants: cfg.Tenants})}
-		r.core.Use(r)
 		f.Routers = append(f.Routers, r)
-		r.core.SetList(f.list(nil))
-		r.wake()
+		if err := r.start(); err != nil {
+			return nil, fmt.Errorf("virtual fleet: %w", err)
+		}
 	}
 	return f, nil
 }
 
+// start begins a life of the router: it knows the directory's list and nothing else.
+func (r *Router) start() error {
+	f := r.fleet
+	r.life++
+	module, err := policy.New(f.cfg.Settings, f.cfg.Seed<<16+uint64(slices.Index(f.Routers, r))+r.life<<32)
+	if err != nil {
+		return err
+	}
+	r.core = router.New(module, router.Limits{MaxOpen: 2000, MaxBytes: 1 << 20, MaxAttempts: f.cfg.Settings.MaxAttempts,
+		OrderTimeout: f.cfg.Settings.OrderTimeout, ProbeTimeout: 250 * time.Millisecond, Tenants: f.cfg.Tenants})
+	r.core.Use(r)
+	r.taken, r.ordered = nil, nil
+	r.told, r.known, r.Down, r.turn = map[policy.WorkerID]time.Duration{}, maps.Clone(f.truth), false, 0
+	if f.cfg.Routes != nil {
+		r.core.SetRoutes(f.cfg.Routes())
+	}
+	r.list()
+	r.wake()
+	return nil
+}
+
+// Kill ends a router at once; after a time it comes back and knows nothing. What it owed is lost.
+func (r *Router) Kill(down time.Duration) {
+	r.Down, r.life = true, r.life+1
+	for _, c := range r.fleet.Calls {
+		if c.taker == r && len(c.Answers) == 0 {
+			c.Killed = true
+		}
+	}
+	r.fleet.After(down, func() {
+		if err := r.start(); err != nil {
+			panic(fmt.Sprintf("virtual: a router that has started once does not: %v", err))
+		}
+	})
+}
+
 func (f *Fleet) addWorker(id policy.WorkerID) *Worker {
-	w := &Worker{ID: id, copies: map[policy.FunctionID]time.Duration{}}
+	w := &Worker{ID: id, copies: map[policy.FunctionID]time.Duration{}, busy: map[policy.FunctionID]int{}, used: map[policy.FunctionID]time.Duration{}}
 	f.Workers[id] = w
 	return w
 }
 
-// list is the whole list, with these entries in place of the usual ones.
-func (f *Fleet) list(changed map[policy.WorkerID]policy.WorkerEntry) policy.WorkerList {
+// list hands the router's core the whole list as it was told.
+func (r *Router) list() {
 	l := policy.WorkerList{Kind: policy.ListWhole}
-	for id := policy.WorkerID(1); int(id) <= len(f.Workers); id++ {
-		e, ok := changed[id]
-		if !ok {
+	labels := []route.Worker{}
+	for id := policy.WorkerID(1); int(id) <= len(r.fleet.Workers); id++ {
+		e, told := r.known[id]
+		if !told && int(id) <= r.fleet.cfg.Workers {
 			e = policy.WorkerEntry{Worker: id, State: policy.Ready, Weight: 1}
 		}
 		if e.State != policy.Gone {
 			l.Workers = append(l.Workers, e)
+			labels = append(labels, route.Worker{ID: id, Name: fmt.Sprint("s-", id)})
 		}
 	}
-	return l
+	r.core.SetList(l)
+	r.core.SetLabels(labels)
 }
 
 // Now is the virtual time.
@@ -154,9 +214,9 @@
 	}
 }
 
-// Tell has each router told of a changed entry, at a time of its own within a span. A change takes the place of what
-// it was told before.
+// Tell has each router told of a changed entry, at a time of its own within a span.
 func (f *Fleet) Tell(within time.Duration, e policy.WorkerEntry) {
+	f.truth[e.Worker] = e
 	for _, r := range f.Routers {
 		f.After(time.Duration(f.rng.Int64N(int64(within)+1)), func() {
 			if r.Down {
@@ -165,33 +225,84 @@
 			if e.State != policy.Ready {
 				r.told[e.Worker] = f.now
 			}
+			r.known[e.Worker] = e
 			r.core.SetNow(f.now)
-			r.core.SetList(f.list(map[policy.WorkerID]policy.WorkerEntry{e.Worker: e}))
+			r.list()
 			r.wake()
 		})
 	}
 }
 
+// Release has so many in ten functions be called in a new version from now on, of which no copy stands anywhere. Copies
+// of the old ones stay where they are.
+func (f *Fleet) Release(inTen int) {
+	for fn := 1; fn <= f.cfg.Functions; fn++ {
+		if fn%10 < inTen {
+			f.version[policy.FunctionID(fn)] = policy.FunctionID(fn + 1<<20)
+		}
+	}
+}
+
+// room tells whether a worker has memory for one more copy, and has the idle copy make it that was used longest ago.
+func (w *Worker) room(f *Fleet) bool {
+	if f.cfg.Copies == 0 || len(w.copies) < f.cfg.Copies {
+		return true
+	}
+	old, found := policy.FunctionID(0), false
+	for fn, stands := range w.copies {
+		if w.busy[fn] == 0 && stands <= f.now && !f.cfg.Stays &&
+			(!found || w.used[fn] < w.used[old] || w.used[fn] == w.used[old] && fn < old) {
+			old, found = fn, true
+		}
+	}
+	delete(w.copies, old)
+	return found
+}
+
 // StartWorker adds a worker that has just started, empty.
-func (f *Fleet) StartWorker() *Worker { return f.addWorker(policy.WorkerID(len(f.Workers) + 1)) }
+func (f *Fleet) StartWorker() *Worker {
+	w := f.addWorker(policy.WorkerID(len(f.Workers) + 1))
+	w.Born = f.now
+	return w
+}
+
+// pick draws a router that is up, by its share of the calls.
+func (f *Fleet) pick() *Router {
+	sum := 0.0
+	for _, r := range f.Routers {
+		if !r.Down {
+			sum += r.share
+		}
+	}
+	at := f.rng.Float64() * sum
+	for _, r := range f.Routers {
+		if !r.Down {
+			if at -= r.share; at <= 0 {
+				return r
+			}
+		}
+	}
+	return f.Routers[0]
+}
 
 // Traffic sends calls of a tenant to all routers alike, so many a second in all, for a time from now on.
 func (f *Fleet) Traffic(tenant string, class int, perSecond float64, d time.Duration) {
 	for at := time.Duration(0); at < d; at += time.Duration(f.rng.ExpFloat64() / perSecond * float64(time.Second)) {
-		f.After(at, func() { f.call(f.Routers[f.rng.IntN(len(f.Routers))], tenant, class) })
+		f.After(at, func() { f.call(f.pick(), tenant, class) })
 	}
 }
 
-// call has a client of a router call a function; a router that is down has its clients go to the next one.
+// call has a client of a router call a function.
 func (f *Fleet) call(r *Router, tenant string, class int) {
-	for n := 0; r.Down && n < len(f.Routers); n++ {
-		r = f.Routers[f.rng.IntN(len(f.Routers))]
-	}
 	f.ids++
 	left := f.cfg.Settings.Classes[class].Deadline
-	c := &Call{Tenant: tenant, At: f.now, Left: left, Late: r.core.Draining, fleet: f}
+	c := &Call{Tenant: tenant, At: f.now, Left: left, Late: r.core.Draining, taker: r, fleet: f}
 	f.Calls = append(f.Calls, c)
 	fn := policy.FunctionID(f.rng.IntN(f.cfg.Functions) + 1)
+	if v, ok := f.version[fn]; ok {
+		fn, c.New = v, true
+	}
+	r.taken = append(r.taken, f.now)
 	r.core.Take(f.now, router.Request{Asker: c, ID: fmt.Sprintf("%016x", f.ids), Class: class, Tenant: tenant, Function: fn,
 		Key: fmt.Sprintf("%016x", uint64(fn)), Lanes: 4, MemoryMB: 100, LoadTime: f.cfg.Load, Deadline: f.now + left - router.AnswerMargin})
 	r.wake()
@@ -230,7 +341,7 @@
 			return
 		}
 		r.turn = 0
-		if !r.Down {
+		if !r.Down { // a router that was killed and is back has set a turn of its own
 			r.at(max(r.core.Turn(r.fleet.now), r.fleet.now+time.Microsecond))
 		}
 	})
@@ -238,7 +349,11 @@
 
 // answer has something reach the router after the way back.
 func (r *Router) answer(after time.Duration, do func()) {
+	life := r.life
 	r.fleet.After(after+time.Millisecond/2, func() {
+		if r.life != life {
+			return // the process that asked has ended
+		}
 		r.core.SetNow(r.fleet.now)
 		do()
 		r.wake()
@@ -268,6 +383,10 @@
 		}
 		note, wait := policy.WasWarm, time.Duration(0)
 		if !known {
+			if !w.room(f) {
+				r.answer(0, func() { r.core.AttemptEnded(a, router.Reply{Outcome: policy.Full}) })
+				return
+			}
 			stands, note = f.now+f.cfg.Load, policy.BeganLoad
 			w.copies[fn] = stands
 		} else if stands > f.now {
@@ -275,8 +394,13 @@
 		}
 		wait = max(stands-f.now, 0)
 		w.held++
+		w.busy[fn]++
+		w.used[fn] = f.now
 		took := wait + f.cfg.Work*time.Duration(1+w.held/f.cfg.Slots)
-		f.After(took, func() { w.held-- })
+		f.After(took, func() {
+			w.held--
+			w.busy[fn]--
+		})
 		r.answer(took, func() { r.core.AttemptEnded(a, router.Reply{Outcome: policy.Served, Note: note, Body: []byte("done")}) })
 	})
 }
@@ -285,9 +409,25 @@
 func (r *Router) Hold(id policy.WorkerID, fn policy.FunctionID, count int, tag uint64) {
 	r.late(id)
 	w, f := r.fleet.Workers[id], r.fleet
+	if s := f.cfg.Settings; count > 0 {
+		within := func(list []time.Duration) (n float64) {
+			for i := len(list) - 1; i >= 0 && list[i] > f.now-s.LoadWindow; i-- {
+				n++
+			}
+			return n
+		}
+		if r.ordered = append(r.ordered, f.now); within(r.ordered) > s.LoadFree+s.LoadShare*within(r.taken) {
+			r.Overdrawn++
+		}
+	}
 	f.After(time.Millisecond/2, func() {
 		if _, known := w.copies[fn]; !known && count > 0 {
+			if !w.room(f) {
+				r.answer(0, func() { r.core.HoldEnded(tag, policy.Full, 0) })
+				return
+			}
 			w.copies[fn] = f.now + f.cfg.Load
+			w.Loads = append(w.Loads, f.now)
 		}
 		r.answer(max(w.copies[fn]-f.now, 0), func() { r.core.HoldEnded(tag, policy.Served, 1) })
 	})
@@ -308,6 +448,9 @@
 // Stop gives an attempt up; the worker goes on with it.
 func (r *Router) Stop(policy.WorkerID, router.Attempt) {}
 
+// Withdraw has nothing to take back: whatever is sent leaves at once.
+func (r *Router) Withdraw(policy.WorkerID, router.Attempt) bool { return false }
+
 // Forget needs nothing here.
 func (r *Router) Forget(policy.WorkerID, uint64) {}
 
--- a/internal/webhook/webhook_test.go
+++ b/internal/webhook/webhook_test.go
@@ -392,7 +392,8 @@
 	}
 	p.core.AttemptEnded(a, router.Reply{Outcome: o, Note: policy.WasWarm, Body: []byte("done " + body)})
 }
-func (p *plant) Stop(policy.WorkerID, router.Attempt) {}
+func (p *plant) Stop(policy.WorkerID, router.Attempt)          {}
+func (p *plant) Withdraw(policy.WorkerID, router.Attempt) bool { return false }
 func (p *plant) Hold(_ policy.WorkerID, _ policy.FunctionID, _ int, tag uint64) {
 	p.core.HoldEnded(tag, policy.Served, 1)
 }
