Let a turn at a cold worker lapse that thin traffic leaves unused for two spans

Change: an unused turn lapses after two spans of the rule (2 x fallMs) and is earned anew; the routers' turns stay apart.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -986,14 +986,14 @@
 	for _, w := range p.fleet {
 		w.served *= fade
 		rate := coldMargin * p.cfg.FallMultiple * p.capacity(w) * p.taken * w.might
-		w.room = min(w.room+rate*beat.Seconds(), max(rate*p.cfg.FallFor.Seconds()/4, p.classes[0].run))
-		if w.State == Gone || w.probing {
-			continue
+		span := rate * p.cfg.FallFor.Seconds()
+		if w.room = min(w.room+rate*beat.Seconds(), max(span/4, p.classes[0].run)); w.room > 2*span {
+			w.room -= p.classes[0].run // a turn not taken for long is over: saved up, all would meet
 		}
 		silent := len(w.out) > 0 && p.now-w.probed > 4*beat &&
 			p.now-max(w.heard, w.out[0].sent) > 2*(w.out[0].expected+beat)
-		if silent || w.strikes > 0 && p.now >= w.aside { // back only when it answers
-			p.probe(w)
+		if w.State != Gone && !w.probing && (silent || w.strikes > 0 && p.now >= w.aside) {
+			p.probe(w) // back only when it answers
 		}
 	}
 	p.news = p.news[max(0, len(p.news)-16*newsBytes):]
