Measure how long thirty routers take to be ready that start at once without a directory

Need: nine in ten restarted processes have to be ready within 10 s, also with discovery down; nothing measured it. Change: lab starts starts thirty at once before a directory that refuses, half of them with an empty list, and fails unless nine in ten are ready in time; stand-in clients can ask check and take calls back.

--- a/cmd/lab/main.go
+++ b/cmd/lab/main.go
@@ -16,6 +16,7 @@
 		Addresses lab.Addresses `cmd:"" help:"Workers with several addresses, which fail at random: service, doubled orders, late sends, cost."`
 		Core      lab.Core      `cmd:"" help:"What a call costs the core and the module, by the size of the fleet."`
 		Load      lab.Load      `cmd:"" help:"An open-loop load by Thrift or signed webhooks, corrected for coordinated omission; with --knee, where a router no longer keeps up."`
+		Starts    lab.Starts    `cmd:"" help:"Many routers started at once while the directory is down: how long until they are ready."`
 		Config    lab.Config    `cmd:"" help:"The configuration language and its routing: cost, and a load with a reload each second and the death of a pool."`
 	}
 	k := kong.Parse(&cli, kong.Name("lab"), kong.Description("Measures the router on this machine's loopback."), kong.BindTo(os.Stdout, (*io.Writer)(nil)))
--- a/internal/lab/router.go
+++ b/internal/lab/router.go
@@ -38,8 +38,8 @@
 	return path, nil
 }
 
-// startRouter starts the program with variables and waits until it takes connections.
-func startRouter(path, listen string, env ...string) (*process, error) {
+// launch starts the program with variables.
+func launch(path, listen string, env ...string) (*process, error) {
 	p := &process{cmd: exec.Command(path), listen: listen, heard: map[string]chan struct{}{}, ended: make(chan struct{})}
 	p.cmd.Env = append(os.Environ(), env...)
 	out, err := p.cmd.StderrPipe()
@@ -65,6 +65,15 @@
 		}
 		p.cmd.Wait()
 	}()
+	return p, nil
+}
+
+// startRouter starts the program with variables and waits until it takes connections.
+func startRouter(path, listen string, env ...string) (*process, error) {
+	p, err := launch(path, listen, env...)
+	if err != nil {
+		return nil, err
+	}
 	for begun := time.Now(); time.Since(begun) < 10*time.Second; time.Sleep(20 * time.Millisecond) {
 		select {
 		case <-p.ended:
