--- a/internal/service/deployments_test.go
+++ b/internal/service/deployments_test.go
@@ -49,6 +49,10 @@
 	{"derwent", told{[]policy.Repeat{policy.Safe, policy.Keyed, policy.Unsafe}, []float64{308, 70, 62}, 5, false, false, true,
 		500 * time.Millisecond, 500 * time.Millisecond, 4, []string{"util", "queue", "x1", "x0"}, 0.15, 7904},
 		"launceston", "util:0.5;queue:1;x1:0;x0:0.2"},
+	{"skerry-tides", told{[]policy.Repeat{policy.Safe, policy.Keyed, policy.Unsafe}, []float64{186, 99, 15}, 2, false, false, true,
+		600 * time.Millisecond, 800 * time.Millisecond, 1.5, []string{"queue", "x0"}, 0.2, 16384}, "islets", "queue:2;x0:0.3"},
+	{"lockgate", told{[]policy.Repeat{policy.Safe, policy.Safe, policy.Unsafe}, nil, 4, true, true, false,
+		1500 * time.Millisecond, 400 * time.Millisecond, 3, []string{"inflight"}, 0.03, 12544}, "", "inflight:1"},
 }
 
 func (d deployment) settings(t *testing.T) map[string]any {
