--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -59,8 +59,8 @@
 func Serve(c *platform.Config, opts Options, reread func() (*platform.Config, error)) error {
 	if opts.Signals == nil {
 		opts.Signals = signals.Catch()
+		defer opts.Signals.Drop()
 	}
-	defer opts.Signals.Release()
 	runtime.GOMAXPROCS(procs)
 	debug.SetMemoryLimit(int64(c.Limits.MemoryMB) << 20 * 6 / 10)
 	module, err := policy.New(c.Module, c.Random)
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -24,10 +24,16 @@
 	return c
 }
 
-// Release ends that: signals do again what they do to any program, those that have come and were not taken too.
-func (c *Caught) Release() {
+// Drop ends that, and forgets what has come: it was meant for what has ended.
+func (c *Caught) Drop() {
 	signal.Stop(c.Stop)
 	signal.Stop(c.Reload)
+}
+
+// Release ends it too, and has signals do again what they do to any program, those that have come and were not taken
+// among them.
+func (c *Caught) Release() {
+	c.Drop()
 	for {
 		select {
 		case s := <-c.Stop:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -988,7 +988,7 @@
 		rate := coldMargin * p.cfg.FallMultiple * p.capacity(w) * p.taken * w.might
 		span := rate * p.cfg.FallFor.Seconds()
 		if w.room = min(w.room+rate*beat.Seconds(), max(span/4, p.classes[0].run)); w.room > 3*span {
-			w.room -= p.classes[0].run // a turn not taken for long is over: saved up, all would meet
+			w.room -= p.classes[0].run // tokens expire: saved up, those of all dispatchers would meet
 		}
 		silent := len(w.out) > 0 && p.now-w.probed > 4*beat &&
 			p.now-max(w.heard, w.out[0].sent) > 2*(w.out[0].expected+beat)
