Keep new calls off a connection whose answer has begun and does not go on

Cause: pool.go, pick, chose a connection on which half an answer had come, for 0.6 s until watch ends it; what was sent there then was lost with it, and what must not be repeated failed. Change: after 150 ms (quietAfter) such a connection is chosen only where no other may be opened. TestAnAnswerThatHaltsTakesNoOtherCallWithIt fails without it.

--- a/internal/resp/pool.go
+++ b/internal/resp/pool.go
@@ -385,6 +385,9 @@
 	return c.pool.now - max(since, heard), owes
 }
 
+// halts tells whether an answer has begun on c and does not go on: what is sent there now would be lost with it.
+func (c *conn) halts() bool { return len(c.part) > 0 && c.pool.now-c.begun > quietAfter }
+
 // fault ends a connection that is of no further use.
 func (c *conn) fault(err error) {
 	slog.Warn("worker_closed", "addr", c.addr, "err", err)
@@ -412,7 +415,7 @@
 			continue
 		}
 		r := 2
-		if c.pinged > 0 {
+		if c.pinged > 0 || c.halts() {
 			r = 1
 		} else if c.up {
 			r = 3
--- a/internal/resp/withdraw_test.go
+++ b/internal/resp/withdraw_test.go
@@ -82,3 +82,23 @@
 		}
 	}
 }
+
+// Guards other calls against an answer that has begun and does not go on: what comes then goes over another connection,
+// while one that is only in parts for a moment is used on.
+func TestAnAnswerThatHaltsTakesNoOtherCallWithIt(t *testing.T) {
+	for _, tt := range []struct {
+		after time.Duration
+		lines int
+	}{{quietAfter, 1}, {quietAfter + time.Millisecond, 2}} {
+		p, _, lines := newPool()
+		p.SetNow(time.Hour)
+		p.Run(1, router.Attempt{Request: 1}, request("0123456789abcdef"), time.Second)
+		(*lines)[0].h.Opened(nil)
+		(*lines)[0].h.Data([]byte("*4\r\n$16\r\n0123456789abcdef\r\n$3\r\nH"))
+		p.SetNow(time.Hour + tt.after)
+		p.Run(1, router.Attempt{Request: 2}, request("fedcba9876543210"), time.Second)
+		if len(*lines) != tt.lines {
+			t.Errorf("%v after an answer halted: %d connections", tt.after, len(*lines))
+		}
+	}
+}
