Tell the module of calls taken back behind a dial as cancelled, as it was told before

Cause: withdraw (router.go) ended such calls as moot, from which the module learns nothing; it used to hear of them as cancelled, which counts as a delay of their worker where nothing was heard of it since. A probe that logged sends shows what pushes: a router that has not read of the start sends its traffic to a worker that fell silent and is back, as soon as a probe is answered. That is open, see ROADMAP.

--- a/internal/router/router.go
+++ b/internal/router/router.go
@@ -356,7 +356,8 @@
 func (c *Core) withdraw(id policy.RequestID, e *entry) {
 	for n := range e.attempts {
 		if t := &e.attempts[n]; !t.ended && c.workers.Withdraw(t.worker, Attempt{id, n}) {
-			c.AttemptEnded(Attempt{id, n}, Reply{Outcome: policy.Moot})
+			// Not as moot: that it waited in vain tells the module of its worker's delay.
+			c.AttemptEnded(Attempt{id, n}, Reply{Outcome: policy.Cancelled})
 		}
 	}
 }
@@ -505,10 +506,10 @@
 // because the worker could not be reached.
 func (c *Core) cancel(a Attempt, o policy.Outcome) {
 	if e := c.reqs[a.Request]; e != nil && a.Number < len(e.attempts) && !e.attempts[a.Number].ended {
-		if w := e.attempts[a.Number].worker; c.workers.Withdraw(w, a) {
-			o = policy.Unreachable
-		} else {
+		if w := e.attempts[a.Number].worker; !c.workers.Withdraw(w, a) {
 			c.workers.Stop(w, a)
+		} else if o == policy.TimedOut {
+			o = policy.Unreachable
 		}
 		c.AttemptEnded(a, Reply{Outcome: o})
 	}
