--- a/internal/loop/crossings_test.go
+++ b/internal/loop/crossings_test.go
@@ -28,20 +28,9 @@
 		t.Fatal(err)
 	}
 	defer ln.Close()
-	l := New(Config{MaxAccepted: 4, MaxFiles: 256, MaxQueued: 1, MaxUnread: 32 << 20}) // the poller waits behind a byte
-	l.Listen("127.0.0.1:0", func(c *Conn) Accepted { return &echo{c: c, ends: make(chan error, 1)} })
-	if err := l.Start(); err != nil {
-		t.Fatal(err)
-	}
-	done := make(chan struct{})
-	go func() {
-		l.Run(func(time.Duration) {}, func(now time.Duration) time.Duration { return now + time.Hour })
-		close(done)
-	}()
-	defer func() {
-		l.Post(l.Stop)
-		<-done
-	}()
+	// The poller waits behind a byte.
+	l := startThat(t, Config{MaxAccepted: 4, MaxFiles: 256, MaxQueued: 1, MaxUnread: 32 << 20},
+		func(c *Conn) Accepted { return &echo{c: c, ends: make(chan error, 1)} })
 	r := &reader{dialled: dialled{make(chan error, 1), make(chan error, 1)}}
 	made := make(chan *Conn, 1)
 	l.Post(func() { made <- l.Dial("tcp", ln.Addr().String(), time.Second, r) })
--- a/internal/loop/loop_test.go
+++ b/internal/loop/loop_test.go
@@ -38,7 +38,11 @@
 func (d *dialled) Closed(err error) { d.closed <- err }
 
 func start(t *testing.T, most int, accept func(*Conn) Accepted) *Loop {
-	l := New(Config{MaxAccepted: most, MaxFiles: 256, MaxQueued: 8 << 20, MaxUnread: 32 << 20})
+	return startThat(t, Config{MaxAccepted: most, MaxFiles: 256, MaxQueued: 8 << 20, MaxUnread: 32 << 20}, accept)
+}
+
+func startThat(t *testing.T, cfg Config, accept func(*Conn) Accepted) *Loop {
+	l := New(cfg)
 	l.Listen("127.0.0.1:0", accept)
 	if err := l.Start(); err != nil {
 		t.Fatal(err)
--- a/internal/service/cuts_test.go
+++ b/internal/service/cuts_test.go
@@ -4,13 +4,11 @@
 	"bufio"
 	"fmt"
 	"net"
-	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
 
 	"crankhold/internal/fleet"
-	"crankhold/internal/platform"
 )
 
 // cutter is a worker that does to the first whole RUN of each call what it is told, and serves what comes later.
@@ -132,25 +130,8 @@
 	for _, m := range members {
 		m.(map[string]any)["host_port"] = w.listen(t)
 	}
-	path := filepath.Join(t.TempDir(), "config.json")
-	writeConfig(t, path, config)
-	cfg, err := platform.Read(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] })
-	if err != nil {
-		t.Fatal(err)
-	}
-	stop, ended := make(chan struct{}), make(chan error, 1)
-	go func() { ended <- Serve(cfg, Options{Stop: stop}, nil) }()
-	var client *fleet.Client
-	for client == nil {
-		client, _ = fleet.Dial(listen)
-	}
-	defer func() {
-		client.Close()
-		close(stop)
-		if err := <-ended; err != nil {
-			t.Error(err)
-		}
-	}()
+	client := serveHere(t, config, listen)()
+	defer client.Close()
 	n := 0
 	do := func(class string) (fleet.Answer, int) {
 		t.Helper()
--- a/internal/service/gone_test.go
+++ b/internal/service/gone_test.go
@@ -1,13 +1,11 @@
 package service
 
 import (
-	"path/filepath"
 	"slices"
 	"sync"
 	"testing"
 
 	"crankhold/internal/fleet"
-	"crankhold/internal/platform"
 )
 
 // Guards a client that goes, by closing or by an interrupt, while its call waits behind a dial that hangs: when the dial
@@ -34,30 +32,11 @@
 			})
 			limits := config["settings"].(map[string]any)["limits"].(map[string]any)
 			limits["cancel"], limits["dialTimeoutMs"] = tt.cancel, 20000
-			path := filepath.Join(t.TempDir(), "config.json")
-			writeConfig(t, path, config)
-			cfg, err := platform.Read(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] })
-			if err != nil {
-				t.Fatal(err)
-			}
 			port := site.Workers[0].Ports()[0]
 			if err := port.Set("full"); err != nil {
 				t.Fatal(err)
 			}
-			stop, ended := make(chan struct{}), make(chan error, 1)
-			go func() { ended <- Serve(cfg, Options{Stop: stop}, nil) }()
-			defer func() {
-				close(stop)
-				if err := <-ended; err != nil {
-					t.Error(err)
-				}
-			}()
-			client := func() (k *fleet.Client) {
-				for k == nil {
-					k, _ = fleet.Dial(listen)
-				}
-				return k
-			}
+			client := serveHere(t, config, listen)
 			check := func(k *fleet.Client) { // answered at the end of a turn, after all that came before it
 				t.Helper()
 				if _, err := k.Check(); err != nil {
--- a/internal/service/process_test.go
+++ b/internal/service/process_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"crankhold/internal/fleet"
+	"crankhold/internal/platform"
 )
 
 // built is the program, built once for the tests that need a process of its own.
@@ -160,6 +161,31 @@
 	}
 }
 
+// serveHere runs a service in this process until the test ends, and returns what connects to it.
+func serveHere(t *testing.T, config map[string]any, listen string) (client func() *fleet.Client) {
+	t.Helper()
+	path := filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, path, config)
+	cfg, err := platform.Read(func(name string) string { return map[string]string{"EDGE_CONFIG": path}[name] })
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop, ended := make(chan struct{}), make(chan error, 1)
+	go func() { ended <- Serve(cfg, Options{Stop: stop}, nil) }()
+	t.Cleanup(func() {
+		close(stop)
+		if err := <-ended; err != nil {
+			t.Error(err)
+		}
+	})
+	return func() (k *fleet.Client) {
+		for k == nil {
+			k, _ = fleet.Dial(listen)
+		}
+		return k
+	}
+}
+
 func callOf(n int) fleet.Call {
 	return fleet.Call{Class: "dim-level", ID: fmt.Sprintf("%016x", n), Key: "7f3a9c21e0b4d655", Wait: 2 * time.Second, Props: "lanes:8"}
 }
