Answer what was read of a connection before it makes room, and read none beyond the limit

nbio's poller reads a connection as soon as it is accepted, and beside the loop: the loop closed idle connections whose next request had been read in the same turn or stood in the kernel, and connections beyond the limit that had been read. The poller now reads by a callback of ours under a lock of the connection. An idle one is closed only after a last read that found nothing, with no read waiting for the loop; a listener makes sure of room before nbio has the connection. Silent clients and those at their time limit close the same way.

Ruled out: closing with half a connection still open (an answer could no longer be written), and asking the kernel for its count (one more call that may fail; a read says it too).

--- a/internal/eventloop/accepted.go
+++ b/internal/eventloop/accepted.go
@@ -92,10 +92,9 @@
 	return a.activeAt < other.activeAt
 }
 
-// accept takes in an accepted connection, or closes it where there are too many.
+// accept takes in an accepted connection. A listener has made sure that there is room for it.
 func (l *Loop) accept(c *Conn) {
-	if c.accept == nil || len(l.accepted) >= l.cfg.MaxAccepted && !l.closeIdleClient() {
-		l.rejected.count++
+	if c.accept == nil {
 		c.Close()
 		return
 	}
@@ -128,20 +127,22 @@
 // one that has only just connected if there is no other. Connections that are opened by hundreds and say nothing so end
 // each other, and neither those of clients that sent requests nor those whose request is under way.
 func (l *Loop) closeIdleClient() bool {
-	var idle *Conn
-	for c := range l.accepted {
-		if c.closed || c.owesResponse() {
-			continue
+	passedOver := map[*Conn]bool{} // a request has arrived on them that the loop has not seen
+	for {
+		var idle *Conn
+		for c := range l.accepted {
+			if c.closed || passedOver[c] || c.owesResponse() {
+				continue
+			}
+			if idle == nil || c.activity.before(&idle.activity, l.now) {
+				idle = c
+			}
 		}
-		if idle == nil || c.activity.before(&idle.activity, l.now) {
-			idle = c
+		if idle == nil || idle.closeAtRest() {
+			return idle != nil
 		}
+		passedOver[idle] = true
 	}
-	if idle == nil {
-		return false
-	}
-	idle.Close()
-	return true
 }
 
 // CloseIdleClients has an idle client's connection give up its descriptor, and reports whether there was one. Clients may
@@ -163,8 +164,13 @@
 func (l *Loop) sweep() {
 	l.sweptAt = l.now
 	for c := range l.accepted {
-		if c.activity.expired(l.now, c.unreadByPeer.Load() > 0) && !c.busy() {
+		unread := c.unreadByPeer.Load() > 0
+		switch {
+		case !c.activity.expired(l.now, unread) || c.busy():
+		case unread || c.activity.partialSince > 0: // it reads or writes too slowly
 			c.Close()
+		default:
+			c.closeAtRest()
 		}
 	}
 	l.rejected.log(l.now)
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 
 	"github.com/lesismal/nbio"
@@ -10,10 +11,11 @@
 
 // Conn is a connection as its handler sees it. Its methods are for the loop's goroutine.
 type Conn struct {
-	loop    *Loop
-	socket  *nbio.Conn // nil until a dial has come up
-	accept  acceptFunc // of an accepted connection
-	handler Handler    // of an accepted connection from the turn on in which it is accepted
+	loop       *Loop
+	socket     *nbio.Conn // nil until a dial has come up
+	accept     acceptFunc // of an accepted connection; nil where no listener has its address
+	isAccepted bool       // by a listener; else this program opened it
+	handler    Handler    // of an accepted connection from the turn on in which it is accepted
 
 	established bool // it came up, and its handler knows
 	closed      bool // by this side: nothing is written to it or taken from it any more
@@ -23,6 +25,10 @@
 	unreadByPeer atomic.Int64 // bytes that the peer has yet to take; the poller takes them off
 	unsentBytes  int          // that had not left when it ended
 	activity     clientActivity
+
+	reading        sync.Mutex   // held while the connection is read
+	readingStopped bool         // nothing more is read; guarded by reading
+	queuedReads    atomic.Int32 // reads that wait for the loop
 }
 
 // RemoteAddr is the address at the other end.
@@ -36,6 +42,7 @@
 
 // receive hands data to the handler.
 func (c *Conn) receive(data []byte) {
+	c.queuedReads.Add(-1)
 	if c.handler == nil || c.closed {
 		return
 	}
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -43,6 +43,7 @@
 		return errLoopEnded
 	}
 	socket.SetSession(c)
+	l.registrations.Add(1)
 	_, err := l.engine.AddConn(socket)
 	return err
 }
--- a/internal/eventloop/listen.go
+++ b/internal/eventloop/listen.go
@@ -15,11 +15,6 @@
 
 const (
 	maxUnwritten = 640 << 10 // bytes a peer may leave unread: 32 responses of 16 KiB and their heads
-	readBuffer   = 32 << 10  // of the one poller, not of each connection
-
-	// maxReads is how many buffers the poller reads of a connection in one go. nbio drops what it has not read when it
-	// hears of the peer's end, so they hold all that one may owe: a worker's 32 responses of 16 KiB and their heads.
-	maxReads = maxUnwritten / readBuffer
 
 	// acceptPause is how long accepting waits after an error. Out of descriptors accept fails at once, and nbio would
 	// call it again without end.
@@ -42,7 +37,7 @@
 	bound := bindings{}
 	engine := nbio.NewEngine(l.engineConfig(bound))
 	engine.OnOpen(func(socket *nbio.Conn) { l.opened(socket, bound) })
-	engine.OnData(l.received)
+	engine.OnRead(l.readable)
 	engine.OnWrittenSize(func(socket *nbio.Conn, _ []byte, size int) {
 		c, ok := socket.Session().(*Conn)
 		if ok {
@@ -71,11 +66,9 @@
 // engineConfig returns nbio's configuration, by which the listeners enter themselves into bound.
 func (l *Loop) engineConfig(bound bindings) nbio.Config {
 	cfg := nbio.Config{
-		Network:                      "tcp",
-		NPoller:                      1,
-		ReadBufferSize:               readBuffer,
-		MaxWriteBufferSize:           maxUnwritten,
-		MaxConnReadTimesPerEventLoop: maxReads,
+		Network:            "tcp",
+		NPoller:            1,
+		MaxWriteBufferSize: maxUnwritten,
 		Listen: func(network, addr string) (net.Listener, error) {
 			listener, err := net.Listen(network, addr)
 			if err != nil {
@@ -84,7 +77,7 @@
 			bound.add(listener.Addr(), l.listeners[addr])
 			l.openListeners = append(l.openListeners, listener)
 			l.acceptors.Add(1)
-			return listener, nil
+			return &admittingListener{Listener: listener, loop: l}, nil
 		},
 	}
 	for addr := range l.listeners {
@@ -101,23 +94,15 @@
 	if socket.Session() != nil {
 		return
 	}
-	c := &Conn{loop: l, socket: socket, accept: bound.find(socket.LocalAddr())}
+	c := &Conn{loop: l, socket: socket, accept: bound.find(socket.LocalAddr()), isAccepted: true}
 	socket.SetSession(c)
+	l.registrations.Add(1)
+	l.acceptedCount.Add(1)
 	if !l.queue.push(event{kind: connectionAccepted, conn: c}) {
 		socket.Close()
 	}
 }
 
-// received is called by the poller. It copies: the buffer is the poller's.
-func (l *Loop) received(socket *nbio.Conn, data []byte) {
-	switch session := socket.Session().(type) {
-	case *Conn:
-		l.queue.push(event{kind: dataReceived, conn: session, data: append([]byte(nil), data...)})
-	case *pollerSignal:
-		session.received()
-	}
-}
-
 // acceptFailed is called by a listener.
 func (l *Loop) acceptFailed(err error) {
 	if errors.Is(err, net.ErrClosed) {
@@ -133,6 +118,34 @@
 	time.Sleep(acceptPause)
 }
 
+// admittingListener takes a connection in before nbio has its poller read it: where there is no room, it is closed and
+// nothing of it has been read.
+type admittingListener struct {
+	net.Listener
+	loop *Loop
+}
+
+// Accept waits for a connection that there is room for.
+func (a *admittingListener) Accept() (net.Conn, error) {
+	for {
+		conn, err := a.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if a.loop.hasRoom() {
+			return conn, nil
+		}
+		conn.Close()
+		a.loop.Post(func() { a.loop.rejected.count++ })
+	}
+}
+
+// hasRoom reports whether one more connection may be accepted, for which an idle one is closed where there are too many.
+// It is called by listeners.
+func (l *Loop) hasRoom() bool {
+	return l.acceptedCount.Load() < int64(l.cfg.MaxAccepted) || l.CloseIdleClients()
+}
+
 // bindings finds the listener of a connection by the address that it was made to.
 type bindings map[string]acceptFunc
 
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -58,6 +58,12 @@
 	acceptors     sync.WaitGroup // goroutines of listeners
 	queue         *queue
 	unreadByPeers atomic.Int64 // bytes that peers have yet to take
+	acceptedCount atomic.Int64 // accepted connections that have not ended, those included that the loop has not seen
+	pollerBuffer  []byte       // what the poller reads into
+
+	// registrations counts connections that were handed to the poller. nbio hands them over by way of the kernel, which
+	// orders memory but is nothing that the race detector knows; it knows of this.
+	registrations atomic.Int64
 
 	dialContext context.Context // ends with the loop
 	cancelDials context.CancelFunc
@@ -70,6 +76,8 @@
 	sweptAt  time.Duration
 	stopped  bool
 	rejected rejectionLog
+
+	closingBuffer []byte // what is read into before a connection is closed
 }
 
 // New returns a Loop that listens nowhere yet.
@@ -79,6 +87,9 @@
 		startedAt: time.Now(),
 		listeners: map[string]acceptFunc{},
 		accepted:  map[*Conn]struct{}{},
+
+		pollerBuffer:  make([]byte, readBuffer),
+		closingBuffer: make([]byte, readBuffer),
 	}
 	l.queue = newQueue(l.clock, cfg.MaxQueuedBytes)
 	l.dialContext, l.cancelDials = context.WithCancel(context.Background())
@@ -161,6 +172,9 @@
 		return
 	}
 	c.ended = true
+	if c.isAccepted {
+		l.acceptedCount.Add(-1)
+	}
 	if c.handler != nil && c.established {
 		c.closed = true
 		c.handler.Closed(err)
--- a/internal/eventloop/queue.go
+++ b/internal/eventloop/queue.go
@@ -30,6 +30,7 @@
 	err    error
 	socket *nbio.Conn
 	call   func()
+	at     time.Duration // of dataReceived: when it was read
 }
 
 // mayWait reports whether the goroutine that queues the event may be made to wait. Only what peers cause waits: a poller
@@ -65,8 +66,21 @@
 	for e.mayWait() && q.full(e.kind) && !q.closed {
 		q.space.Wait()
 	}
+	queued := q.add(e)
+	q.mu.Unlock()
+	return queued
+}
+
+// pushNow queues an event of the loop's own goroutine, for which it never waits: only a turn makes room.
+func (q *queue) pushNow(e event) bool {
+	q.mu.Lock()
+	defer q.mu.Unlock()
+	return q.add(e)
+}
+
+// add queues an event and wakes the loop, or returns false once the queue is closed. The caller holds the lock.
+func (q *queue) add(e event) bool {
 	if q.closed {
-		q.mu.Unlock()
 		return false
 	}
 	if e.kind == connectionAccepted {
@@ -77,7 +91,6 @@
 	}
 	q.events = append(q.events, e)
 	q.bytes += len(e.data)
-	q.mu.Unlock()
 	select {
 	case q.wake <- struct{}{}:
 	default:
--- a/internal/eventloop/shutdown.go
+++ b/internal/eventloop/shutdown.go
@@ -71,6 +71,7 @@
 	defer peer.Close()
 	signal := &pollerSignal{running: make(chan struct{})}
 	socket.SetSession(signal)
+	l.registrations.Add(1)
 	_, err = l.engine.AddConn(socket)
 	if err != nil {
 		return
