Show that a turn mistakes the age of what it reads, and that long responses are cut at an end

A turn's time is that at which its oldest event was queued: budgets told to workers and whatever else goes out count from there, however late the turn is. And nbio's poller ends a connection whose peer has closed after it has read 640 KiB (655,360 of 3,145,728 bytes arrived).

--- /dev/null
+++ b/internal/eventloop/arrival_test.go
@@ -0,0 +1,74 @@
+package eventloop
+
+import (
+	"net"
+	"testing"
+	"time"
+)
+
+// timedHandler keeps how long ago, by the loop's clock, data arrived when it is handled.
+type timedHandler struct {
+	echo
+	waited chan time.Duration
+}
+
+func (h *timedHandler) Data([]byte) { h.waited <- h.c.loop.Now() - h.c.loop.now }
+
+// The time of a turn is the present, and what waited for the turn has arrived before it.
+func TestTurnKnowsHowLongDataHasWaited(t *testing.T) {
+	const wait = 50 * time.Millisecond
+	waited := make(chan time.Duration, 1)
+	l := start(t, 1, func(c *Conn) AcceptedHandler {
+		return &timedHandler{echo{c: c, ends: make(chan error, 1)}, waited}
+	})
+	client := dial(t, l)
+	release := hold(l)
+	if _, err := client.Write([]byte("x")); err != nil {
+		t.Fatal(err)
+	}
+	awaitQueuedBytes(l, 1)
+	time.Sleep(wait)
+	release()
+	if got := <-waited; got < wait {
+		t.Errorf("data that waited for %v counts as %v old", wait, got)
+	}
+}
+
+// Data that a peer wrote before it closed is read to its end, also where it is more than the poller reads in one go.
+func TestAllOfALongResponseIsReadBeforeAnEnd(t *testing.T) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l := startWith(t, Config{MaxAccepted: 4, MaxDescriptors: 256, MaxQueuedBytes: 1, MaxUnreadBytes: 32 << 20},
+		func(c *Conn) AcceptedHandler { return &echo{c: c, ends: make(chan error, 1)} })
+	r := &reader{dialled: dialled{make(chan error, 1), make(chan error, 1)}}
+	made := make(chan *Conn, 1)
+	l.Post(func() { made <- l.Dial("tcp", ln.Addr().String(), time.Second, r) })
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	peer.(*net.TCPConn).SetWriteBuffer(4 << 20)
+	if err := <-r.opened; err != nil {
+		t.Fatal(err)
+	}
+	(<-made).socket.SetReadBuffer(4 << 20)
+	release := hold(l)
+	client := dial(t, l)
+	for range 3 { // the poller waits with the third byte
+		client.Write([]byte("x"))
+		time.Sleep(5 * time.Millisecond)
+	}
+	awaitQueuedBytes(l, 2)
+	peer.SetWriteDeadline(time.Now().Add(300 * time.Millisecond)) // as much as the kernel takes
+	size, _ := peer.Write(make([]byte, 3<<20))
+	peer.(*net.TCPConn).CloseWrite()
+	release()
+	<-r.closed
+	if got := r.got.Load(); got != int64(size) {
+		t.Errorf("%d of %d bytes were read before the end", got, size)
+	}
+}
