Take the present for the time of a turn, and what a client waits for from its data's arrival

A turn's time was that at which its oldest event was queued. A loop that was held up told workers budgets that were already spent, and took its timers for not yet due. The turn now reads the present; each read is stamped by the poller, and the fronts count a request's time from that of its last byte.

--- a/internal/eventloop/arrival_test.go
+++ b/internal/eventloop/arrival_test.go
@@ -12,7 +12,7 @@
 	waited chan time.Duration
 }
 
-func (h *timedHandler) Data([]byte) { h.waited <- h.c.loop.Now() - h.c.loop.now }
+func (h *timedHandler) Data([]byte) { h.waited <- h.c.loop.Now() - h.c.loop.ArrivedAt() }
 
 // The time of a turn is the present, and what waited for the turn has arrived before it.
 func TestTurnKnowsHowLongDataHasWaited(t *testing.T) {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -71,6 +71,7 @@
 
 	// Owned by Run's goroutine.
 	now      time.Duration
+	arrived  time.Duration // when the data was read that is being handled; else now
 	accepted map[*Conn]struct{}
 	toFlush  []*Conn // with something to write at the end of the turn
 	sweptAt  time.Duration
@@ -94,6 +95,7 @@
 	l.queue = newQueue(l.clock, cfg.MaxQueuedBytes)
 	l.dialContext, l.cancelDials = context.WithCancel(context.Background())
 	l.now = l.clock()
+	l.arrived = l.now
 	return l
 }
 
@@ -105,6 +107,10 @@
 // Now is the time of the present turn.
 func (l *Loop) Now() time.Duration { return l.now }
 
+// ArrivedAt is when the data was read that a handler is being given: before the turn, by as much as the loop was held up.
+// What a client waits for counts from then, and what goes out by Now. Outside of Handler.Data it is Now.
+func (l *Loop) ArrivedAt() time.Duration { return l.arrived }
+
 // FromUnix turns a Unix time into one on the loop's clock.
 func (l *Loop) FromUnix(t time.Time) time.Duration {
 	return (epoch + t.Sub(l.startedAt.Round(0))).Truncate(time.Microsecond)
@@ -127,6 +133,7 @@
 		// The turn's one reading of the clock.
 		batch, now := l.queue.take(spare[:0])
 		l.now = now
+		l.arrived = now
 		begin(now)
 		l.dispatch(batch)
 		spare = batch
@@ -154,7 +161,9 @@
 		case dialEnded:
 			e.conn.dialEnded(e.socket, e.err)
 		case dataReceived:
+			l.arrived = e.at
 			e.conn.receive(e.data)
+			l.arrived = l.now
 		case connectionEnded:
 			l.connectionEnded(e.conn, e.err)
 		}
--- a/internal/eventloop/queue.go
+++ b/internal/eventloop/queue.go
@@ -46,9 +46,8 @@
 	mu                sync.Mutex
 	space             *sync.Cond // a turn has taken what was queued, or the queue is closed
 	events            []event
-	bytes             int           // of data in events
-	unseenConnections int           // accepted ones in events
-	oldest            time.Duration // when the first of events was queued
+	bytes             int // of data in events
+	unseenConnections int // accepted ones in events
 	closed            bool
 }
 
@@ -86,9 +85,6 @@
 	if e.kind == connectionAccepted {
 		q.unseenConnections++
 	}
-	if len(q.events) == 0 {
-		q.oldest = q.clock()
-	}
 	q.events = append(q.events, e)
 	q.bytes += len(e.data)
 	select {
@@ -107,8 +103,7 @@
 }
 
 // take returns what is queued and lets those that wait go on; spare, which must be empty, receives what is queued next.
-// It also returns the time of the turn: that at which the first of the events was queued, since requests that arrived
-// with it have no more time than that, and the present where there is none.
+// It also returns the time of the turn, which is the present.
 func (q *queue) take(spare []event) (batch []event, now time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
@@ -117,9 +112,6 @@
 	q.bytes = 0
 	q.unseenConnections = 0
 	q.space.Broadcast()
-	if len(batch) > 0 {
-		return batch, q.oldest
-	}
 	return batch, q.clock()
 }
 
--- a/internal/eventloop/read.go
+++ b/internal/eventloop/read.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/lesismal/nbio"
+	"golang.org/x/sys/unix"
 )
 
 const (
@@ -30,11 +31,15 @@
 	}
 }
 
-// readAvailable reads what the kernel has and queues it for the loop.
+// readAvailable reads what the kernel has and queues it for the loop. The poller closes the connection after it where the
+// peer has ended, so then it reads to the end.
 func (c *Conn) readAvailable(socket *nbio.Conn) {
 	c.reading.Lock()
 	defer c.reading.Unlock()
-	for reads := 0; !c.readingStopped && reads < maxReads; reads++ {
+	for reads := 0; !c.readingStopped; reads++ {
+		if reads >= maxReads && !hasEnded(socket) {
+			return
+		}
 		buffer := c.loop.pollerBuffer
 		_, size, err := socket.ReadAndGetConn(&buffer)
 		if size > 0 {
@@ -62,6 +67,21 @@
 	push(c.loop.queue, event{kind: dataReceived, conn: c, data: append([]byte(nil), data...), at: c.loop.clock()})
 }
 
+// hasEnded reports whether the peer of a stream has ended it. What it sent before may be yet to be read.
+func hasEnded(socket *nbio.Conn) bool {
+	ended := false
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return false
+	}
+	_ = raw.Control(func(fd uintptr) { // nbio's never fails
+		state := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		ready, err := unix.Poll(state, 0)
+		ended = err == nil && ready > 0
+	})
+	return ended
+}
+
 // closeAtRest closes an accepted connection on which no response is due and nothing has arrived, and reports whether it
 // did. It reads once more, under the lock that keeps the poller from reading: whatever has been read is handled, and what
 // comes later finds the connection closed.
--- a/internal/server/integrations.go
+++ b/internal/server/integrations.go
@@ -70,7 +70,7 @@
 
 func (n *integrations) addReceiver(cfg *webhook.Config, loop *eventloop.Loop, core *router.Core) error {
 	maxOutcomeBytes := n.config.ScaleToMemory(maxWebhookOutcomeBytes)
-	receiver, err := webhook.NewReceiver(cfg, core, webhookClasses(n.config), maxOutcomeBytes, loop.Now, time.Now, loop.Post)
+	receiver, err := webhook.NewReceiver(cfg, core, webhookClasses(n.config), maxOutcomeBytes, loop, time.Now, loop.Post)
 	if err != nil {
 		return err
 	}
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -95,7 +95,7 @@
 	}
 	s.integrations = integrations
 	s.startedAt = s.loop.Now()
-	front := thrift.New(s.core, thriftConfig(s.config), s.loop.Now, s.ready)
+	front := thrift.New(s.core, thriftConfig(s.config), s.loop, s.ready)
 	s.loop.Listen(s.config.Listen, front.Accept)
 	if err := s.loop.Start(); err != nil {
 		s.integrations.close()
--- a/internal/thrift/connection.go
+++ b/internal/thrift/connection.go
@@ -144,12 +144,12 @@
 	opened := &openRequest{connection: c, sequence: sequence}
 	request.Responder = opened
 	if len(c.open) >= maxOpenRequests {
-		front.core.RejectUnaccepted(front.clock(), request)
+		front.core.RejectUnaccepted(front.clock.Now(), request)
 		return
 	}
 	request.Body = bytes.Clone(body) // a large read is not kept for one small body in it
 	c.open[sequence] = opened
-	id := front.core.Accept(front.clock(), request)
+	id := front.core.Accept(front.clock.Now(), request)
 	if !opened.completed {
 		opened.id = id
 	}
@@ -211,5 +211,5 @@
 	}
 	r.completed = true
 	front := r.connection.front
-	front.core.CancelRequest(front.clock(), r.id)
+	front.core.CancelRequest(front.clock.Now(), r.id)
 }
--- a/internal/thrift/example_test.go
+++ b/internal/thrift/example_test.go
@@ -34,7 +34,7 @@
 	// The front runs on an event loop, here on any free port.
 	loop := eventloop.New(eventloop.Config{MaxAccepted: 10, MaxDescriptors: 1024})
 	ready := func() bool { return true }
-	front := thrift.New(upperCaseCore{}, thrift.Config{Classes: []thrift.Class{{Name: "dim-level"}}}, loop.Now, ready)
+	front := thrift.New(upperCaseCore{}, thrift.Config{Classes: []thrift.Class{{Name: "dim-level"}}}, loop, ready)
 	loop.Listen("127.0.0.1:0", front.Accept)
 	check(loop.Start())
 	stopped := make(chan struct{})
--- a/internal/thrift/front.go
+++ b/internal/thrift/front.go
@@ -20,6 +20,14 @@
 	CancelRequest(now time.Duration, id policy.RequestID)
 }
 
+// Clock tells times; an eventloop.Loop is one.
+type Clock interface {
+	// Now is the present.
+	Now() time.Duration
+	// ArrivedAt is when the message was read that is being handled.
+	ArrivedAt() time.Duration
+}
+
 // Class is a class of requests.
 type Class struct {
 	Name                   string
@@ -37,14 +45,14 @@
 	core              Core
 	config            Config
 	classIndex        map[string]int
-	clock             func() time.Duration
+	clock             Clock
 	ready             func() bool
 	closedConnections rateLimitedCount // for breaking the protocol
 	rejectedRequests  rateLimitedCount // for a field that can't be used
 }
 
 // New returns a Front. Ready is what check is answered with.
-func New(core Core, cfg Config, clock func() time.Duration, ready func() bool) *Front {
+func New(core Core, cfg Config, clock Clock, ready func() bool) *Front {
 	f := &Front{core: core, config: cfg, classIndex: map[string]int{}, clock: clock, ready: ready}
 	for i, class := range cfg.Classes {
 		f.classIndex[class.Name] = i
@@ -63,14 +71,14 @@
 
 // logClosedConnection logs that a client broke the protocol.
 func (f *Front) logClosedConnection(err error) {
-	if count := f.closedConnections.add(f.clock()); count > 0 {
+	if count := f.closedConnections.add(f.clock.Now()); count > 0 {
 		slog.Warn("client_connections_closed", slog.String("front", "thrift"), slog.Int("count", count), slog.Any("err", err))
 	}
 }
 
 // logRejectedRequest logs a field that can't be used.
 func (f *Front) logRejectedRequest(rejected *FieldError) {
-	if count := f.rejectedRequests.add(f.clock()); count > 0 {
+	if count := f.rejectedRequests.add(f.clock.Now()); count > 0 {
 		slog.Warn("client_request_field_rejected", slog.String("front", "thrift"), slog.String("field", rejected.Field),
 			slog.String("value", rejected.Value), slog.Int("count", count))
 	}
--- a/internal/thrift/request.go
+++ b/internal/thrift/request.go
@@ -104,7 +104,7 @@
 	if !ok {
 		return request, fields.unusable(fieldWait)
 	}
-	request.Deadline = f.clock() + milliseconds(wait) - router.ResponseMargin
+	request.Deadline = f.clock.ArrivedAt() + milliseconds(wait) - router.ResponseMargin
 	if !decodeProperties(fields.text(fieldProperties), &request) {
 		return request, fields.unusable(fieldProperties)
 	}
--- a/internal/thrift/thrift_test.go
+++ b/internal/thrift/thrift_test.go
@@ -38,7 +38,7 @@
 func newTestConnection() (*connection, *fakeCore, *testutil.Transport) {
 	core := &fakeCore{}
 	transport := &testutil.Transport{}
-	front := New(core, Config{Classes: []Class{{Name: "dim-level"}, {Name: "repair-order"}, {Name: "extend", RequiresIdempotencyKey: true}}, Tenants: []string{"east", "west"}}, func() time.Duration { return time.Hour }, func() bool { return true })
+	front := New(core, Config{Classes: []Class{{Name: "dim-level"}, {Name: "repair-order"}, {Name: "extend", RequiresIdempotencyKey: true}}, Tenants: []string{"east", "west"}}, testutil.Clock(time.Hour), func() bool { return true })
 	return front.serve(transport, netip.AddrPort{}), core, transport
 }
 
@@ -326,7 +326,7 @@
 func TestTenantsAreIgnoredWithoutTenantSettings(t *testing.T) {
 	core := &fakeCore{}
 	transport := &testutil.Transport{}
-	front := New(core, Config{Classes: []Class{{Name: "repair-order"}}}, func() time.Duration { return time.Hour }, func() bool { return true })
+	front := New(core, Config{Classes: []Class{{Name: "repair-order"}}}, testutil.Clock(time.Hour), func() bool { return true })
 	front.serve(transport, netip.AddrPort{}).Data(executeFrame(1, "", append([]string{"tenant", "anyone"}, validFields...)...))
 	if len(core.accepted) != 1 || core.accepted[0].Tenant != "" {
 		t.Errorf("accepted %+v, answered %q", core.accepted, transport.Written.String())
--- a/internal/webhook/delivery.go
+++ b/internal/webhook/delivery.go
@@ -120,7 +120,7 @@
 // forward hands a request to the router.
 func (r *Receiver) forward(id string, pending *outcome, request router.Request) {
 	request.Responder = &outcomeResponder{receiver: r, id: id, outcome: pending}
-	r.core.Accept(r.clock(), request)
+	r.core.Accept(r.clock.Now(), request)
 }
 
 // hexDigest returns the first half of the SHA-256 of b in hex digits.
--- a/internal/webhook/helpers_test.go
+++ b/internal/webhook/helpers_test.go
@@ -55,7 +55,7 @@
 func newReceiver(t rapid.TB, core Core, ledger string) (*Receiver, chan func()) {
 	t.Helper()
 	posts := make(chan func(), 100)
-	clock := func() time.Duration { return time.Hour }
+	clock := testutil.Clock(time.Hour)
 	post := func(f func()) { posts <- f }
 	receiver, err := NewReceiver(testConfig(ledger), core, classes, 16<<20, clock, wallAtNoon, post)
 	if err != nil {
--- a/internal/webhook/outcome.go
+++ b/internal/webhook/outcome.go
@@ -135,7 +135,7 @@
 	if status == statusOK {
 		body = response.Body
 	}
-	p.receiver.outcomes.complete(p.outcome, status, body, p.receiver.clock())
+	p.receiver.outcomes.complete(p.outcome, status, body, p.receiver.clock.Now())
 	if p.outcome.inLedger {
 		entry := p.outcome.ledgerEntry(p.id)
 		entry.State = stateEnded
--- a/internal/webhook/payload.go
+++ b/internal/webhook/payload.go
@@ -128,7 +128,7 @@
 		Lanes:       p.Data.Lanes,
 		LoadTime:    milliseconds(p.Data.LoadMs),
 		Body:        p.Data.Body,
-		Deadline:    r.clock() + p.wait(class) - router.ResponseMargin,
+		Deadline:    r.clock.ArrivedAt() + p.wait(class) - router.ResponseMargin,
 	}
 	return request, p.Timestamp, nil
 }
--- a/internal/webhook/receiver.go
+++ b/internal/webhook/receiver.go
@@ -18,6 +18,14 @@
 	Accept(now time.Duration, r router.Request) policy.RequestID
 }
 
+// Clock tells times; an eventloop.Loop is one.
+type Clock interface {
+	// Now is the present.
+	Now() time.Duration
+	// ArrivedAt is when the delivery was read that is being handled.
+	ArrivedAt() time.Duration
+}
+
 // Class is a class of requests as the receiver needs to know it.
 type Class struct {
 	Name                   string
@@ -37,7 +45,7 @@
 	core             Core
 	classes          []Class
 	classIndex       map[string]int
-	clock            func() time.Duration
+	clock            Clock
 	wallClock        func() time.Time
 	post             func(func())
 	keys             []signingKey
@@ -49,7 +57,7 @@
 
 // NewReceiver reads the keys and the ledger that cfg names. The receiver keeps at most maxOutcomeBytes of responses'
 // bodies. Clock is the event loop's, wallClock the system's; post runs a function on the event loop's goroutine.
-func NewReceiver(cfg *Config, core Core, classes []Class, maxOutcomeBytes int, clock func() time.Duration,
+func NewReceiver(cfg *Config, core Core, classes []Class, maxOutcomeBytes int, clock Clock,
 	wallClock func() time.Time, post func(func())) (*Receiver, error) {
 	keys, err := readKeys(cfg.Receiver.Keys)
 	if err != nil {
@@ -111,7 +119,7 @@
 // logRejection logs why a delivery was rejected, at most once a second: whoever can connect could fill the log
 // otherwise. The counters count them all.
 func (r *Receiver) logRejection(event string, err error) {
-	now := r.clock()
+	now := r.clock.Now()
 	if now < r.nextRejectionLog {
 		return
 	}
