--- a/internal/fake/client.go
+++ b/internal/fake/client.go
@@ -126,8 +126,28 @@
 	c.conn.Write(encodeMessage(messageOneway, "interrupt", 0, interruptArguments(seq)))
 }
 
+// GoInHalves sends the first half of a request, and the rest when the function that it returns is called. Nothing else may
+// be sent in between. It calls done as Go does.
+func (c *Client) GoInHalves(call Call, done func(Answer, error)) (rest func()) {
+	var message []byte
+	c.sendBy(func(whole []byte) error {
+		message = whole
+		_, err := c.conn.Write(whole[:len(whole)/2])
+		return err
+	}, "execute", executeArguments(&call), done)
+	return func() { c.conn.Write(message[len(message)/2:]) }
+}
+
 // send writes a message with its arguments under the next sequence number.
 func (c *Client) send(method string, arguments []byte, done func(Answer, error)) {
+	c.sendBy(func(message []byte) error {
+		_, err := c.conn.Write(message)
+		return err
+	}, method, arguments, done)
+}
+
+// sendBy has write send a message with its arguments under the next sequence number.
+func (c *Client) sendBy(write func(message []byte) error, method string, arguments []byte, done func(Answer, error)) {
 	c.mu.Lock()
 	if err := c.broken; err != nil {
 		c.mu.Unlock()
@@ -136,7 +156,7 @@
 	}
 	c.lastSeq++
 	c.inFlight[c.lastSeq] = done
-	_, err := c.conn.Write(encodeMessage(messageCall, method, c.lastSeq, arguments))
+	err := write(encodeMessage(messageCall, method, c.lastSeq, arguments))
 	c.mu.Unlock()
 	if err != nil {
 		c.conn.Close() // read ends all requests in flight
