Derive a shutdown from the settings, and answer clients until shortly before the kill

A shutdown ended when no request was open 0.75 s after SIGTERM, though clients go on sending on open connections until the kill; its last limit of 3.5 s was fixed, though the kill may come 1.1 s after SIGTERM; and a request with 3 s left, or a client that waits for longer than its class, outlasted the kill at workers that hang.

The steps now follow from the longest deadline. Until 0.2 s before the kill later requests are rejected on open and new connections. Then open requests end as by their deadline, the listeners close, and each connection is closed at rest, after a last read, behind the turn's flush: a closed loop's next request is answered or unread.

Not taken: closing idle connections from 0.75 s on, which ends sooner but has every client cross a close; holding out until SIGKILL, which finds the last request of each client that sends without a pause.

What got worse: a router with connected clients now ends 3.5 s after SIGTERM (0.75 s), with deadlines of 3 s.

--- a/internal/eventloop/accepted.go
+++ b/internal/eventloop/accepted.go
@@ -145,6 +145,27 @@
 	}
 }
 
+// AcceptedCount is how many accepted connections have not ended.
+func (l *Loop) AcceptedCount() int { return int(l.acceptedCount.Load()) }
+
+// CloseClients stops listening and, from the end of this turn on, closes each accepted connection as soon as it is at rest:
+// no response is due on it, all that was written has been taken, and no message has begun to arrive.
+func (l *Loop) CloseClients() {
+	l.closingClients = true
+	for _, listener := range l.openListeners {
+		listener.Close()
+	}
+}
+
+// closeClientsAtRest closes the accepted connections that are at rest.
+func (l *Loop) closeClientsAtRest() {
+	for c := range l.accepted {
+		if c.activity.partialSince == 0 {
+			c.closeAtRest()
+		}
+	}
+}
+
 // CloseIdleClients has an idle client's connection give up its descriptor, and reports whether there was one. Clients may
 // hold all that are left; discovery and the workers must be reached all the same. It is not for the loop's goroutine.
 func (l *Loop) CloseIdleClients() bool {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -78,7 +78,8 @@
 	stopped  bool
 	rejected rejectionLog
 
-	closingBuffer []byte // what is read into before a connection is closed
+	closingClients bool   // for good, and none is accepted any more
+	closingBuffer  []byte // what is read into before a connection is closed
 }
 
 // New returns a Loop that listens nowhere yet.
@@ -139,6 +140,9 @@
 		spare = batch
 		next := turn(now)
 		l.flush()
+		if l.closingClients {
+			l.closeClientsAtRest()
+		}
 		if now-l.sweptAt > sweepInterval {
 			l.sweep()
 		}
--- a/internal/router/responses.go
+++ b/internal/router/responses.go
@@ -1,6 +1,8 @@
 package router
 
 import (
+	"maps"
+	"slices"
 	"time"
 
 	"crankhold/policy"
@@ -31,6 +33,14 @@
 	c.withdrawUnsentAttempts(tracked)
 }
 
+// EndOpenRequests gives each open request its final response now, as its deadline would. It is for a program that is about
+// to end.
+func (c *Core) EndOpenRequests() {
+	for _, id := range slices.Sorted(maps.Keys(c.requests)) {
+		c.deadlineExceeded(id)
+	}
+}
+
 // countUnserved counts a response that is not a worker's, and returns the completion that it stands for.
 func (c *Core) countUnserved(front Front, status ResponseStatus) Completion {
 	if status == Rejected {
--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -32,6 +32,7 @@
 		return nil, err
 	}
 	s := &Server{config: cfg, options: options, reread: reread, closed: make(chan struct{})}
+	s.drainSchedule = newDrainSchedule(longestDeadline(cfg.Policy.Classes))
 	s.loop = newEventLoop(cfg)
 	s.core = newCore(cfg, scheduler)
 	s.workers = newWorkerClient(cfg, s.loop, s.core)
@@ -94,6 +95,15 @@
 	return slowest
 }
 
+// longestDeadline returns the longest deadline of all classes.
+func longestDeadline(classes []policy.Class) time.Duration {
+	longest := time.Duration(0)
+	for _, class := range classes {
+		longest = max(longest, class.Deadline)
+	}
+	return longest
+}
+
 func newDiscoveryClient(cfg *config.Config, loop *eventloop.Loop, changed func([]discovery.Worker)) *discovery.Client {
 	dial := func(addr string, handler eventloop.DialHandler) discovery.Transport {
 		return loop.Dial("udp", addr, discoveryDialTimeout, handler)
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -48,7 +48,9 @@
 	integrations *integrations
 
 	startedAt       time.Duration
+	drainSchedule   drainSchedule
 	drainingSince   time.Duration // 0 while the server is not draining
+	closingClients  bool          // the drain has come to close its clients' connections
 	lastMaintenance time.Duration
 	lastSweep       time.Duration
 
