--- /dev/null
+++ b/internal/workerclient/budget_test.go
@@ -0,0 +1,78 @@
+package workerclient
+
+import (
+	"errors"
+	"fmt"
+	"regexp"
+	"strconv"
+	"testing"
+	"time"
+
+	"crankhold/internal/router"
+	"crankhold/policy"
+)
+
+// toldBudgets returns the budgets of all RUN commands that were written to a connection.
+func toldBudgets(t *testing.T, transport *fakeTransport) (budgets []time.Duration) {
+	t.Helper()
+	for _, match := range regexp.MustCompile(`budget=(\d+)`).FindAllStringSubmatch(transport.Written.String(), -1) {
+		ms, err := strconv.Atoi(match[1])
+		if err != nil {
+			t.Fatal(err)
+		}
+		budgets = append(budgets, time.Duration(ms)*time.Millisecond)
+	}
+	return budgets
+}
+
+// The budget that a worker is told is what is left when the command is written: less the time that it waited for a dial,
+// and less that which it spent on a connection that ended before it had left. With nothing left it is not sent.
+func TestBudgetIsWhatIsLeftWhenTheCommandIsWritten(t *testing.T) {
+	const budget = time.Second
+	for _, waits := range []time.Duration{0, 160 * time.Millisecond, 600 * time.Millisecond, budget} {
+		t.Run(fmt.Sprint("dial of ", waits), func(t *testing.T) {
+			p, s, transports := newPool()
+			a := router.Attempt{Request: 1}
+			p.StartAttempt(1, a, newRequest("0123456789abcdef"), budget)
+			p.SetNow(waits)
+			transport := (*transports)[0]
+			transport.handler.DialCompleted(nil)
+			if waits == budget {
+				if got := toldBudgets(t, transport); len(got) > 0 || len(s.outcomes[a]) != 1 || !s.outcomes[a][0].NeverRan() {
+					t.Errorf("with nothing left it was told %v and ended %v", got, s.outcomes[a])
+				}
+				return
+			}
+			if got := toldBudgets(t, transport); len(got) != 1 || got[0] != (budget-waits).Truncate(time.Millisecond) {
+				t.Fatalf("told %v after %v of %v", got, waits, budget)
+			}
+			transport.Unsent = transport.Written.Len()
+			p.SetNow(waits + 200*time.Millisecond)
+			transport.handler.Closed(errors.New("reset"))
+			again := (*transports)[1]
+			again.handler.DialCompleted(nil)
+			if got := toldBudgets(t, again); len(got) != 1 || got[0] != (budget-waits-200*time.Millisecond).Truncate(time.Millisecond) {
+				t.Errorf("told %v when it was sent again %v later", got, 200*time.Millisecond)
+			}
+		})
+	}
+}
+
+// A request that its client has given up on is not sent again, though its connection ends before it has left: where the
+// settings don't let workers be told, it stays in flight until then.
+func TestAbandonedRequestIsNotSentAgain(t *testing.T) {
+	p, s, transports := newPool()
+	p.cfg.CancelSupported = false
+	a := router.Attempt{Request: 1}
+	p.StartAttempt(1, a, newRequest("0123456789abcdef"), time.Second)
+	transport := (*transports)[0]
+	transport.handler.DialCompleted(nil)
+	if p.WithdrawUnsent(1, a) {
+		t.Fatal("what was written was withdrawn")
+	}
+	transport.Unsent = transport.Written.Len()
+	transport.handler.Closed(errors.New("reset"))
+	if len(*transports) > 1 || len(s.outcomes[a]) != 1 || s.outcomes[a][0] != policy.Unreachable {
+		t.Errorf("%d connections, ended %v", len(*transports), s.outcomes[a])
+	}
+}
