Tell workers what is left when a command is written, and resend nothing that was given up

A RUN is now encoded when it is written: what is left then is the attempt's expiry less the turn's time, so a dial or a connection that ended is taken off. One with nothing left is not sent and counts as unreachable, as if its timer had come first. An attempt whose request has its response, or whose client has gone, is never sent again. SIGUSR1 has a channel of its own, so that a SIGTERM always finds room in its.

--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -51,30 +51,25 @@
 	for {
 		select {
 		case received := <-s.options.Signals.Stop:
-			s.loop.Post(func() { s.handleSignal(received) })
+			s.loop.Post(func() { s.Drain(received) })
+		case <-s.options.Signals.Report:
+			s.loop.Post(s.logCounters)
 		case <-stop:
 			stop = nil // a closed channel is always ready
-			s.loop.Post(func() { s.handleSignal(syscall.SIGTERM) })
+			s.loop.Post(func() { s.Drain(syscall.SIGTERM) })
 		case <-s.closed:
 			return
 		}
 	}
 }
 
-// handleSignal logs the counters, and begins to drain unless the signal asked for the counters alone.
-func (s *Server) handleSignal(received os.Signal) {
-	s.logCounters()
-	if received != syscall.SIGUSR1 {
-		s.Drain(received)
-	}
-}
-
 // Drain begins the graceful shutdown that a signal asked for. It runs on the event loop's goroutine; while
 // the server drains it has no effect.
 func (s *Server) Drain(received os.Signal) {
 	if s.drainingSince > 0 {
 		return
 	}
+	s.logCounters()
 	s.drainingSince = s.loop.Now()
 	slog.Info("server_draining", slog.String("signal", received.String()))
 }
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -8,14 +8,16 @@
 	"syscall"
 )
 
-// stopCapacity is how many signals wait in Stop: one of each kind and one more.
-const stopCapacity = 4
+// stopCapacity is how many signals wait in Stop: more add nothing, since the first ends the program.
+const stopCapacity = 1
 
 // Signals holds the signals that were caught and that nobody has received yet.
 type Signals struct {
-	// Stop delivers the signals that end the program (SIGTERM, SIGINT) or ask for its counters (SIGUSR1). It is apart from
-	// Reload, so that repeated SIGHUPs can't displace a SIGTERM.
+	// Stop delivers the signals that end the program (SIGTERM, SIGINT). Each of the others has a channel of its own, so that
+	// repeated ones can't displace a SIGTERM.
 	Stop chan os.Signal
+	// Report delivers SIGUSR1, which asks for the counters. While one waits a further one adds nothing.
+	Report chan os.Signal
 	// Reload delivers SIGHUP, which asks to read the configuration again. While one waits a further one adds nothing.
 	Reload chan os.Signal
 }
@@ -24,9 +26,11 @@
 func Notify() *Signals {
 	s := &Signals{
 		Stop:   make(chan os.Signal, stopCapacity),
+		Report: make(chan os.Signal, 1),
 		Reload: make(chan os.Signal, 1),
 	}
-	signal.Notify(s.Stop, syscall.SIGTERM, syscall.SIGINT, syscall.SIGUSR1)
+	signal.Notify(s.Stop, syscall.SIGTERM, syscall.SIGINT)
+	signal.Notify(s.Report, syscall.SIGUSR1)
 	signal.Notify(s.Reload, syscall.SIGHUP)
 	return s
 }
@@ -34,6 +38,7 @@
 // Close stops catching signals and drops those that wait: they were meant for what has ended.
 func (s *Signals) Close() {
 	signal.Stop(s.Stop)
+	signal.Stop(s.Report)
 	signal.Stop(s.Reload)
 }
 
@@ -45,6 +50,8 @@
 		select {
 		case caught := <-s.Stop:
 			raise(caught)
+		case caught := <-s.Report:
+			raise(caught)
 		case caught := <-s.Reload:
 			raise(caught)
 		default:
--- a/internal/workerclient/command.go
+++ b/internal/workerclient/command.go
@@ -32,19 +32,29 @@
 	attempt router.Attempt // runCommand
 	tag     uint64         // loadCommand, healthCheckCommand: by which the result is told
 	id      string         // on the wire
-	header  []byte         // all of the command but the body of a RUN
+	header  []byte         // all of the command but the body; of a RUN from when it is written on
+	run     *runParameters // runCommand: what header is made of
 	body    []byte         // runCommand
-	budget  time.Duration  // runCommand: the time that the request has left
+	expires time.Duration  // runCommand: when the time that the request has left is over
 
 	conn            *conn
 	written         bool
 	sentAt          time.Duration
-	endOffset       int // of its last byte in what was written to conn
-	resends         int // connections that ended before it had left whole
-	lostConnections int // healthCheckCommand: connections that ended under it
+	endOffset       int  // of its last byte in what was written to conn
+	abandoned       bool // nobody waits for its result, so it is not sent again
+	resends         int  // connections that ended before it had left whole
+	lostConnections int  // healthCheckCommand: connections that ended under it
 }
 
 // sortByID gives commands a fixed order: equal runs must hand the decision module equal events.
 func sortByID(commands []*command) {
 	slices.SortFunc(commands, func(a, b *command) int { return cmp.Compare(a.id, b.id) })
 }
+
+// dialBudget is the time that a dial for the command may take, 0 for one that sets no limit.
+func (c *command) dialBudget(now time.Duration) time.Duration {
+	if c.kind != runCommand {
+		return 0
+	}
+	return max(c.expires-now, 0)
+}
--- a/internal/workerclient/conn.go
+++ b/internal/workerclient/conn.go
@@ -79,7 +79,18 @@
 	c.writeCommand(cmd)
 }
 
+// writeCommand writes a command, unless the time is over in which its result is wanted: the worker would be told of more
+// than there is.
 func (c *conn) writeCommand(cmd *command) {
+	if cmd.kind == runCommand {
+		budget := cmd.expires - c.pool.now
+		if budget <= 0 {
+			c.remove(cmd)
+			c.pool.fail(cmd, policy.Unreachable)
+			return
+		}
+		cmd.header = encodeRun(cmd.run, budget)
+	}
 	cmd.written = true
 	cmd.sentAt = c.pool.now
 	c.lastUsed = c.pool.now
--- a/internal/workerclient/dispatch.go
+++ b/internal/workerclient/dispatch.go
@@ -17,15 +17,14 @@
 // StartAttempt sends a request to a worker. Its result is unreachable where the worker is not ready or no connection
 // can be had.
 func (p *Pool) StartAttempt(id policy.WorkerID, a router.Attempt, r *router.Request, budget time.Duration) {
-	cmd := &command{kind: runCommand, attempt: a, id: r.ID, body: r.Body, budget: budget}
-	cmd.header = encodeRun(&runParameters{
+	cmd := &command{kind: runCommand, attempt: a, id: r.ID, body: r.Body, expires: p.now + budget}
+	cmd.run = &runParameters{
 		id:             r.ID,
 		class:          p.cfg.Classes[r.Class],
 		functionKey:    r.FunctionKey,
 		idempotencyKey: r.IdempotencyKey,
-		budget:         budget,
 		bodySize:       len(r.Body),
-	})
+	}
 	w := p.workers[id]
 	if w == nil || !w.ready() {
 		p.fail(cmd, policy.Unreachable)
@@ -50,10 +49,14 @@
 }
 
 // WithdrawUnsent cancels an attempt that is queued behind a dial and reports whether it did: then nothing of it was
-// sent, and nothing will be.
+// sent, and nothing will be. One that was written is at least not sent again.
 func (p *Pool) WithdrawUnsent(_ policy.WorkerID, a router.Attempt) bool {
 	cmd := p.attempts[a]
-	if cmd == nil || cmd.written {
+	if cmd == nil {
+		return false
+	}
+	if cmd.written {
+		cmd.abandoned = true
 		return false
 	}
 	delete(p.attempts, a)
@@ -147,7 +150,7 @@
 func (p *Pool) connectionEnded(w *worker, cmd *command, outcome policy.Outcome, arrivable int) {
 	neverArrived := !cmd.kind.isHealthQuery() && cmd.written && cmd.endOffset > arrivable
 	switch {
-	case neverArrived && cmd.resends < maxResends && w.ready():
+	case neverArrived && !cmd.abandoned && cmd.resends < maxResends && w.ready():
 		cmd.resends++
 		p.Counters.CallsResent++
 		p.resend(w, cmd)
--- a/internal/workerclient/encode.go
+++ b/internal/workerclient/encode.go
@@ -33,13 +33,12 @@
 	class          string
 	functionKey    string
 	idempotencyKey string // empty: none
-	budget         time.Duration
 	bodySize       int
 }
 
 // encodeRun returns a RUN up to its body. The budget is told in whole milliseconds, 1 at the least.
-func encodeRun(run *runParameters) []byte {
-	fields := fmt.Sprintf("queue=%s,path=%s,budget=%d", run.class, run.functionKey, max(run.budget.Milliseconds(), 1))
+func encodeRun(run *runParameters, budget time.Duration) []byte {
+	fields := fmt.Sprintf("queue=%s,path=%s,budget=%d", run.class, run.functionKey, max(budget.Milliseconds(), 1))
 	if run.idempotencyKey != "" {
 		fields += ",uniq=" + run.idempotencyKey
 	}
--- a/internal/workerclient/pick.go
+++ b/internal/workerclient/pick.go
@@ -32,7 +32,7 @@
 	if !p.ensureCapacity() {
 		return best
 	}
-	c := newConn(w, endpoint.NewDialRace(w.addresses.Candidates(), p.cfg.DialTimeout, cmd.budget))
+	c := newConn(w, endpoint.NewDialRace(w.addresses.Candidates(), p.cfg.DialTimeout, cmd.dialBudget(p.now)))
 	w.connections = append(w.connections, c)
 	c.startDials()
 	return c
