--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -12,6 +12,9 @@
 // maxDialRetries is how often idle clients make room for a dial that found no descriptor.
 const maxDialRetries = 4
 
+// connectFunc opens a connection and makes it nbio's.
+type connectFunc = func(ctx context.Context, network, addr string, timeout time.Duration) (*nbio.Conn, error)
+
 // Dial opens a connection and returns at once. A net.Dialer does it on a goroutine of its own: in nbio 1.6.8 a refused
 // DialAsync is first reported as connected, and one that connects at once leaves its write event set, on which the
 // poller then spins.
@@ -29,9 +32,9 @@
 
 // dial opens a socket. Idle clients make room for it where no descriptor is left.
 func (l *Loop) dial(network, addr string, timeout time.Duration) (*nbio.Conn, error) {
-	socket, err := connect(l.dialContext, network, addr, timeout)
+	socket, err := l.connect(l.dialContext, network, addr, timeout)
 	for retry := 0; retry < maxDialRetries && IsDescriptorExhausted(err) && l.CloseIdleClients(); retry++ {
-		socket, err = connect(l.dialContext, network, addr, timeout)
+		socket, err = l.connect(l.dialContext, network, addr, timeout)
 	}
 	return socket, err
 }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -65,6 +65,7 @@
 	// orders memory but is nothing that the race detector knows; it knows of this.
 	registrations atomic.Int64
 
+	connect     connectFunc     // opens a socket; tests have it fail
 	dialContext context.Context // ends with the loop
 	cancelDials context.CancelFunc
 	dials       sync.WaitGroup // goroutines of dials
@@ -89,6 +90,7 @@
 		startedAt: time.Now(),
 		listeners: map[string]acceptFunc{},
 		accepted:  map[*Conn]struct{}{},
+		connect:   connect,
 
 		pollerBuffer:  make([]byte, readBuffer),
 		closingBuffer: make([]byte, readBuffer),
--- a/internal/server/harness_test.go
+++ b/internal/server/harness_test.go
@@ -5,6 +5,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -146,3 +148,19 @@
 func callOf(n int) fake.Call {
 	return fake.Call{Class: "dim-level", ID: fmt.Sprintf("%016x", n), Key: "7f3a9c21e0b4d655", Wait: 2 * time.Second, Props: "lanes:8"}
 }
+
+// budgetOf reads the budget from the fields of a RUN command.
+func budgetOf(t *testing.T, fields string) time.Duration {
+	t.Helper()
+	for field := range strings.SplitSeq(fields, ",") {
+		if text, ok := strings.CutPrefix(field, "budget="); ok {
+			ms, err := strconv.Atoi(text)
+			if err != nil {
+				t.Fatal(err)
+			}
+			return time.Duration(ms) * time.Millisecond
+		}
+	}
+	t.Fatalf("no budget in %q", fields)
+	return 0
+}
--- /dev/null
+++ b/internal/server/keyed_window_test.go
@@ -0,0 +1,134 @@
+package server
+
+import (
+	"bufio"
+	"net"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"crankhold/internal/fake"
+)
+
+// fullListener listens with the shortest backlog there is, and fills it when it is told to, so that a dial hangs until the
+// kernel tries again, a second later.
+type fullListener struct {
+	*net.TCPListener
+	t *testing.T
+}
+
+func newFullListener(t *testing.T) fullListener {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { listener.Close() })
+	return fullListener{listener.(*net.TCPListener), t}
+}
+
+// fill has dials hang until connections are accepted again.
+func (l fullListener) fill() {
+	raw, err := l.SyscallConn()
+	if err != nil {
+		l.t.Error(err)
+		return
+	}
+	raw.Control(func(fd uintptr) { syscall.Listen(int(fd), 0) })
+	for range 4 {
+		conn, err := net.DialTimeout("tcp", l.Addr().String(), 20*time.Millisecond)
+		if err != nil {
+			return
+		}
+		l.t.Cleanup(func() { conn.Close() })
+	}
+}
+
+// acceptAfter accepts connections from a time on and calls run for each RUN command that arrives on one.
+func (l fullListener) acceptAfter(wait time.Duration, run func(words []string)) {
+	time.Sleep(wait)
+	for {
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer conn.Close()
+			for in := bufio.NewReader(conn); ; {
+				words, err := readWords(in)
+				if err != nil {
+					return
+				}
+				if len(words) == 4 && words[0] == "RUN" {
+					run(words)
+				}
+			}
+		}()
+	}
+}
+
+// A request of a class whose workers drop repeats for a time may be sent again only within that time. An attempt that
+// began within it, and waited for a dial until it was over, is not sent.
+func TestKeyedRequestIsNotSentAgainPastItsWindow(t *testing.T) {
+	const window = 1500 * time.Millisecond
+	listener := newFullListener(t)
+	_, _, document := siteFor(t, 1, nil)
+	firstTopology(document)["members"].([]any)[0].(map[string]any)["host_port"] = listener.Addr().String()
+	settings := document["settings"].(map[string]any)
+	limits := settings["limits"].(map[string]any)
+	limits["dialTimeoutMs"], limits["mayProbe"] = 3000, false // a health check that times out would take the attempt back
+	class := settings["classes"].([]any)[0].(map[string]any)
+	class["semantics"], class["windowMs"], class["deadlineMs"] = "keyed", window.Milliseconds(), 4000
+	document["names"] = "127.0.0.1:9" // discovery lists the worker that the listener stands for no more than the configuration does
+
+	var repeats atomic.Int32
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		conn, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		if _, err := readWords(bufio.NewReader(conn)); err != nil {
+			t.Error(err)
+		}
+		listener.fill()
+		conn.(*net.TCPConn).SetLinger(0)
+		conn.Close() // it may have run
+		listener.acceptAfter(1300*time.Millisecond, func([]string) { repeats.Add(1) })
+	}()
+	server := startServer(t, document, Options{})
+	call := callOf(1)
+	call.Once, call.Wait = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211", 3*time.Second
+	answer, err := server.dial().Do(call)
+	if err != nil || answer.Verdict == fake.Served {
+		t.Errorf("answer %+v, %v", answer, err)
+	}
+	listener.Close()
+	<-ended
+	if got := repeats.Load(); got > 0 {
+		t.Errorf("it was sent again %d times past its window of %v", got, window)
+	}
+}
+
+// The budget that a worker is told leaves out the time that the request spent waiting for a dial.
+func TestBudgetLeavesOutASlowDial(t *testing.T) {
+	const wait = 4 * time.Second
+	listener := newFullListener(t)
+	listener.fill()
+	_, _, document := siteFor(t, 1, nil)
+	firstTopology(document)["members"].([]any)[0].(map[string]any)["host_port"] = listener.Addr().String()
+	document["settings"].(map[string]any)["limits"].(map[string]any)["dialTimeoutMs"] = 3000
+	document["names"] = "127.0.0.1:9"
+	told := make(chan string, 4)
+	go listener.acceptAfter(200*time.Millisecond, func(words []string) { told <- words[2] })
+	server := startServer(t, document, Options{})
+	call := callOf(1)
+	call.Wait = wait
+	server.dial().Go(call, func(fake.Answer, error) {})
+	fields := <-told
+	if budget := budgetOf(t, fields); budget > wait-800*time.Millisecond { // the kernel tries again after a second
+		t.Errorf("told %v of %v after a dial of a second", budget, wait)
+	}
+}
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -28,6 +28,8 @@
 	workers *workerclient.Pool
 	config  *config.Config
 
+	wallClock func() time.Time
+
 	list []discovery.Worker
 	// departed are names that were listed and then were not: their processes have ended.
 	departed map[string]bool
@@ -41,6 +43,7 @@
 		core:       core,
 		workers:    workers,
 		config:     cfg,
+		wallClock:  time.Now,
 		departed:   map[string]bool{},
 		returnedAt: map[string]time.Duration{},
 	}
