Keep keyed repeats in their window, starts across clock steps, and workers clear of our own faults

A further attempt of a keyed request carries how long it may wait (policy.StartAttempt.SendWithin) and is not written later. A worker's start is compared with the wall clock once, when it is told, and kept on the monotonic one; where the wall clock has drifted, or the start can't be true, it is bounded by when the last list was confirmed that did not have it. A dial outlasts EADDRNOTAVAIL, ENETUNREACH, ENOBUFS and their like within its time; if they last, the attempt counts as not sent, no address as failed, and a health check says nothing (it would have ejected the worker).

--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -58,6 +58,8 @@
 type Client struct {
 	// UnixInTXT accepts the text unix=/path in a worker's TXT record as one more address, which is an extension.
 	UnixInTXT bool
+	// Confirmed, where set, is called when a response has said that the list is the present one.
+	Confirmed func()
 	// QueriesSent counts the queries.
 	QueriesSent uint64
 	// ResponsesRead counts the responses that could be used whole.
@@ -176,6 +178,9 @@
 	c.ResponsesRead++
 	if r.serial == c.serial && !c.incomplete { // an outdated response says nothing of the present, so polling goes on
 		c.unanswered = 0
+		if c.Confirmed != nil {
+			c.Confirmed()
+		}
 		c.nextTick = max(c.now, c.lastQuery+c.jitter(c.pollInterval))
 	}
 	return nil
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -9,8 +9,11 @@
 	"github.com/lesismal/nbio"
 )
 
-// maxDialRetries is how often idle clients make room for a dial that found no descriptor.
-const maxDialRetries = 4
+// The first pause before a dial that failed by a fault of this machine is tried again, and the longest.
+const (
+	firstDialPause   = 2 * time.Millisecond
+	longestDialPause = 50 * time.Millisecond
+)
 
 // connectFunc opens a connection and makes it nbio's.
 type connectFunc = func(ctx context.Context, network, addr string, timeout time.Duration) (*nbio.Conn, error)
@@ -30,13 +33,25 @@
 	return c
 }
 
-// dial opens a socket. Idle clients make room for it where no descriptor is left.
+// dial opens a socket within a time. A fault of this machine is outlasted, since it says nothing of the peer; where no
+// descriptor is left, idle clients make room.
 func (l *Loop) dial(network, addr string, timeout time.Duration) (*nbio.Conn, error) {
-	socket, err := l.connect(l.dialContext, network, addr, timeout)
-	for retry := 0; retry < maxDialRetries && IsDescriptorExhausted(err) && l.CloseIdleClients(); retry++ {
-		socket, err = l.connect(l.dialContext, network, addr, timeout)
+	ctx, cancel := context.WithTimeout(l.dialContext, timeout)
+	defer cancel()
+	for pause := firstDialPause; ; pause = min(2*pause, longestDialPause) {
+		socket, err := l.connect(ctx, network, addr, timeout)
+		if !IsLocalFault(err) {
+			return socket, err
+		}
+		if IsDescriptorExhausted(err) && l.CloseIdleClients() {
+			continue
+		}
+		select {
+		case <-ctx.Done():
+			return nil, err
+		case <-time.After(pause):
+		}
 	}
-	return socket, err
 }
 
 // register has the poller watch a socket for c.
--- a/internal/eventloop/errors.go
+++ b/internal/eventloop/errors.go
@@ -4,6 +4,7 @@
 	"errors"
 	"fmt"
 	"net/netip"
+	"slices"
 	"syscall"
 )
 
@@ -43,6 +44,17 @@
 // Unwrap returns ErrSlowPeer.
 func (e *SlowPeerError) Unwrap() error { return ErrSlowPeer }
 
+// localFaults are errors of system calls that a dial shows for reasons of this machine, and as a rule for a moment.
+var localFaults = []syscall.Errno{
+	syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN, syscall.EINTR,
+	syscall.EADDRNOTAVAIL, syscall.ENETUNREACH, syscall.ENETDOWN,
+}
+
+// IsLocalFault reports whether an error is of this machine and says nothing of a peer.
+func IsLocalFault(err error) bool {
+	return slices.ContainsFunc(localFaults, func(fault syscall.Errno) bool { return errors.Is(err, fault) })
+}
+
 // IsDescriptorExhausted reports whether an error is of this machine and says nothing of a peer: no descriptor or buffer
 // is left.
 func IsDescriptorExhausted(err error) bool {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -114,11 +114,6 @@
 // What a client waits for counts from then, and what goes out by Now. Outside of Handler.Data it is Now.
 func (l *Loop) ArrivedAt() time.Duration { return l.arrived }
 
-// FromUnix turns a Unix time into one on the loop's clock.
-func (l *Loop) FromUnix(t time.Time) time.Duration {
-	return (epoch + t.Sub(l.startedAt.Round(0))).Truncate(time.Microsecond)
-}
-
 // Post has call run on the loop's goroutine.
 func (l *Loop) Post(call func()) { l.queue.push(event{kind: callPosted, call: call}) }
 
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -32,6 +32,10 @@
 	if budget == action.Limit { // otherwise the request's deadline comes first
 		tracked.attempts[attempt.Number].timeout = c.addAttemptTimeout(attempt, budget)
 	}
+	tracked.request.SendBy = 0
+	if action.SendWithin > 0 {
+		tracked.request.SendBy = c.now + action.SendWithin
+	}
 	c.Counters.AttemptsStarted++
 	c.workers.StartAttempt(action.Worker, attempt, &tracked.request, budget)
 }
--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -39,6 +39,7 @@
 	s.core.SetWorkerClient(s.workers)
 	s.membership = newMembership(s.loop, s.core, s.workers, cfg)
 	s.discovery = newDiscoveryClient(cfg, s.loop, s.membership.update)
+	s.discovery.Confirmed = s.membership.confirmed
 	addresses, err := readAddresses(options.Addresses)
 	if err != nil {
 		return nil, err
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -28,7 +28,8 @@
 	workers *workerclient.Pool
 	config  *config.Config
 
-	wallClock func() time.Time
+	starts   *startTimes
+	lastList time.Duration // when the list was last confirmed before the present one; 0: never
 
 	list []discovery.Worker
 	// departed are names that were listed and then were not: their processes have ended.
@@ -43,7 +44,7 @@
 		core:       core,
 		workers:    workers,
 		config:     cfg,
-		wallClock:  time.Now,
+		starts:     newStartTimes(time.Now, loop.Now()),
 		departed:   map[string]bool{},
 		returnedAt: map[string]time.Duration{},
 	}
@@ -54,10 +55,17 @@
 	if len(list) > 0 {
 		m.detectRestarts(list)
 	}
+	m.starts.update(m.loop.Now(), m.lastList, list)
+	if m.lastList == 0 { // the platform's, as of the start
+		m.confirmed()
+	}
 	m.list = list
 	m.publish()
 }
 
+// confirmed takes in that discovery has said that the list is the present one.
+func (m *membership) confirmed() { m.lastList = m.loop.Now() }
+
 // detectRestarts records which names left the list and which came back. A name that comes back belongs to a new process,
 // which goes through slow start like any other although discovery reports no start time for it.
 func (m *membership) detectRestarts(list []discovery.Worker) {
@@ -83,10 +91,11 @@
 // startTime returns when a worker's process started on the event loop's clock, or 0 where discovery reports no start
 // and the worker has been listed all along.
 func (m *membership) startTime(worker discovery.Worker) time.Duration {
-	if worker.Started == 0 {
+	at, reported := m.starts.of(worker.Name)
+	if !reported {
 		return m.returnedAt[worker.Name]
 	}
-	return max(m.loop.FromUnix(time.UnixMilli(worker.Started)), 1)
+	return at
 }
 
 // joinedWorker is one worker process: all the entries of the list that lead to it.
--- /dev/null
+++ b/internal/server/start_times.go
@@ -0,0 +1,86 @@
+package server
+
+import (
+	"time"
+
+	"crankhold/internal/discovery"
+)
+
+const (
+	// maxListAge is how old what discovery tells may be on its worst days: it runs seconds behind for half a minute.
+	maxListAge = 45 * time.Second
+
+	// announceDelay is the time after an event at which discovery has told it, as a rule.
+	announceDelay = 1500 * time.Millisecond
+
+	// maxClockDrift is by how much the wall clock may move against the monotonic one before it counts as stepped.
+	maxClockDrift = 500 * time.Millisecond
+)
+
+// startTimes keeps when workers' processes started, on the event loop's clock. Discovery reports starts as Unix times, and
+// wall clocks are stepped, this machine's and others', by as much as an hour. So each is compared with this machine's wall
+// clock once, when it is told, and the result is kept on the monotonic clock.
+//
+// A result is bounded by what can be: no process started in the future, and none of which an earlier list did not know
+// started long before that list. Where this machine's wall clock has moved against its monotonic one, or a time lies beyond
+// these bounds, a process counts as started no earlier than just before the last list that did not have it. What neither
+// shows, a wall clock that is wrong by the same time from this program's start on, can't be known.
+type startTimes struct {
+	wallClock func() time.Time
+	first     reading
+	known     map[string]startTime // by the worker's name
+}
+
+// reading is one of both clocks.
+type reading struct {
+	wall      time.Time
+	monotonic time.Duration
+}
+
+// startTime is a start as it was told, and what it was taken for.
+type startTime struct {
+	unixMillis int64
+	at         time.Duration
+}
+
+func newStartTimes(wallClock func() time.Time, now time.Duration) *startTimes {
+	return &startTimes{
+		wallClock: wallClock,
+		first:     reading{wallClock().Round(0), now},
+		known:     map[string]startTime{},
+	}
+}
+
+// update takes in a list that was told now. lastList is when the list before it was last confirmed, 0 for none.
+func (s *startTimes) update(now, lastList time.Duration, list []discovery.Worker) {
+	known := map[string]startTime{}
+	for _, worker := range list {
+		if worker.Started == 0 {
+			continue
+		}
+		start, told := s.known[worker.Name]
+		if !told || start.unixMillis != worker.Started {
+			start = startTime{worker.Started, s.convert(now, lastList, time.UnixMilli(worker.Started))}
+		}
+		known[worker.Name] = start
+	}
+	s.known = known
+}
+
+// convert returns when a process started that discovery tells of now for the first time.
+func (s *startTimes) convert(now, lastList time.Duration, told time.Time) time.Duration {
+	wall := s.wallClock().Round(0)
+	at := now - wall.Sub(told)
+	drift := (wall.Sub(s.first.wall) - (now - s.first.monotonic)).Abs()
+	implausible := at > now || lastList > 0 && at < lastList-maxListAge
+	if lastList > 0 && (drift > maxClockDrift || implausible) {
+		at = max(at, lastList-announceDelay)
+	}
+	return min(at, now)
+}
+
+// of returns a worker's start, and whether discovery reports one.
+func (s *startTimes) of(name string) (at time.Duration, reported bool) {
+	start, reported := s.known[name]
+	return max(start.at, 1), reported // 0 would stand for a long time ago
+}
--- a/internal/workerclient/command.go
+++ b/internal/workerclient/command.go
@@ -36,6 +36,7 @@
 	run     *runParameters // runCommand: what header is made of
 	body    []byte         // runCommand
 	expires time.Duration  // runCommand: when the time that the request has left is over
+	sendBy  time.Duration  // runCommand: it is not written later
 
 	conn            *conn
 	written         bool
--- a/internal/workerclient/conn.go
+++ b/internal/workerclient/conn.go
@@ -79,17 +79,16 @@
 	c.writeCommand(cmd)
 }
 
-// writeCommand writes a command, unless the time is over in which its result is wanted: the worker would be told of more
-// than there is.
+// writeCommand writes a command, unless the time is over in which it may be sent: nothing would be left of its budget, or
+// the worker might no longer know it for a repeat.
 func (c *conn) writeCommand(cmd *command) {
 	if cmd.kind == runCommand {
-		budget := cmd.expires - c.pool.now
-		if budget <= 0 {
+		if c.pool.now >= cmd.sendBy {
 			c.remove(cmd)
 			c.pool.fail(cmd, policy.Unreachable)
 			return
 		}
-		cmd.header = encodeRun(cmd.run, budget)
+		cmd.header = encodeRun(cmd.run, cmd.expires-c.pool.now)
 	}
 	cmd.written = true
 	cmd.sentAt = c.pool.now
--- a/internal/workerclient/dial.go
+++ b/internal/workerclient/dial.go
@@ -89,16 +89,18 @@
 }
 
 // dialFailed goes on to the next address. A refused or late dial proves that nothing ran; only when the last one has
-// failed is the worker unreachable.
+// failed is the worker unreachable. After a fault of this machine that outlasted the dial nothing is known of the worker.
 func (c *conn) dialFailed(d *dial, err error) {
 	p := c.pool
 	p.Counters.DialsFailed++
 	slog.Warn("worker_dial_failed", slog.String("addr", d.addr.String()), slog.Any("err", err))
-	if !eventloop.IsDescriptorExhausted(err) {
+	outcome := policy.NotSent
+	if !eventloop.IsLocalFault(err) {
+		outcome = policy.Unreachable
 		c.worker.addresses.Failed(p.now, d.addr)
 	}
 	if c.race.DialFailed() {
-		c.terminate(policy.Unreachable)
+		c.terminate(outcome)
 		return
 	}
 	c.startDials()
--- a/internal/workerclient/dispatch.go
+++ b/internal/workerclient/dispatch.go
@@ -18,6 +18,10 @@
 // can be had.
 func (p *Pool) StartAttempt(id policy.WorkerID, a router.Attempt, r *router.Request, budget time.Duration) {
 	cmd := &command{kind: runCommand, attempt: a, id: r.ID, body: r.Body, expires: p.now + budget}
+	cmd.sendBy = cmd.expires
+	if r.SendBy > 0 {
+		cmd.sendBy = min(cmd.sendBy, r.SendBy)
+	}
 	cmd.run = &runParameters{
 		id:             r.ID,
 		class:          p.cfg.Classes[r.Class],
--- a/internal/workerclient/recovery.go
+++ b/internal/workerclient/recovery.go
@@ -71,7 +71,7 @@
 	switch {
 	case err == nil:
 		addresses.Succeeded(now, r.addr)
-	case eventloop.IsDescriptorExhausted(err):
+	case eventloop.IsLocalFault(err):
 		addresses.RecoveryInconclusive(now, r.addr)
 	default:
 		r.pool.Counters.RecoveryDialsFailed++
--- a/policy/health.go
+++ b/policy/health.go
@@ -48,6 +48,9 @@
 		return
 	}
 	w.checking = false
+	if e.Outcome == NotSent {
+		return // for a reason of this machine, which says nothing of the worker
+	}
 	if e.Outcome != TimedOut && e.Outcome != Unreachable && e.Outcome != ConnectionReset {
 		p.responded(w)
 		p.loadReported(w, e.Report)
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -19,16 +19,25 @@
 		return r.hedging || limits.RetriesAfterProvenNoRun < 0 || n <= limits.RetriesAfterProvenNoRun
 	}
 	withinLimit := limits.RetriesAfterPossibleRun < 0 || r.retriesAfterRun < limits.RetriesAfterPossibleRun
-	deduplicated := p.now < ran.startedAt+c.DeduplicationWindow-p.cfg.Tick &&
+	deduplicated := p.now < p.deduplicatedUntil(r) &&
 		(w == nil || c.DeduplicationScope == DeduplicatedEverywhere ||
 			c.DeduplicationScope == DeduplicatedInZone && w.Zone == ran.worker.Zone ||
 			c.DeduplicationScope == DeduplicatedInCell && w.Cell == ran.worker.Cell)
 	return withinLimit && (c.Idempotency == Idempotent || c.Idempotency == IdempotentWithKey && deduplicated)
 }
 
+// deduplicatedUntil is until when workers drop a repeat of r, an attempt of which may have run.
+func (p *Policy) deduplicatedUntil(r *request) time.Duration {
+	return r.possibleRun.startedAt + r.class.DeduplicationWindow - p.cfg.Tick
+}
+
 func (p *Policy) startAttempt(r *request, w *worker, expected time.Duration, likelyLoaded bool) {
 	load, replica := p.expectedLoadTime(w, r), p.replicas.get(w, r.function.id)
-	if !p.emit(StartAttempt{Request: r.Request, Worker: w.Worker, Limit: r.Policy.AttemptTimeout}) {
+	start := StartAttempt{Request: r.Request, Worker: w.Worker, Limit: r.Policy.AttemptTimeout}
+	if r.possibleRun != nil && r.class.Idempotency == IdempotentWithKey {
+		start.SendWithin = p.deduplicatedUntil(r) - p.now
+	}
+	if !p.emit(start) {
 		return
 	}
 	a := &attempt{request: r, worker: w, pool: r.pool, number: len(r.attempts), inFlight: len(w.inFlight),
