Show orders that a stepped clock forgets or refuses, and a ledger that stays out of use

The window of an order and the age of a delivery follow the wall clock: a step of an hour refuses fresh deliveries and forgets orders or keeps them, and after a restart with the clock back in its window an order that was forgotten runs again. One failed write of the ledger rejects all later orders until a restart. Three tests, listed.

--- /dev/null
+++ b/internal/webhook/recovery_test.go
@@ -0,0 +1,164 @@
+package webhook
+
+import (
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"strconv"
+	"testing"
+	"time"
+
+	"crankhold/internal/router"
+	"crankhold/internal/testutil"
+)
+
+// movingClock is a clock that the test moves.
+type movingClock struct{ now time.Duration }
+
+func (c *movingClock) Now() time.Duration       { return c.now }
+func (c *movingClock) ArrivedAt() time.Duration { return c.now }
+
+// steppedReceiver is a receiver whose wall clock is stepped.
+type steppedReceiver struct {
+	*Receiver
+	t     *testing.T
+	core  *fakeCore
+	clock *movingClock
+	wall  time.Time
+	posts chan func()
+}
+
+const testRetention = 45 * time.Minute
+
+// newSteppedReceiver returns a receiver whose clocks say noon, and whose ledger retains orders for testRetention.
+func newSteppedReceiver(t *testing.T, path string, wall time.Time) *steppedReceiver {
+	t.Helper()
+	s := &steppedReceiver{t: t, core: &fakeCore{}, clock: &movingClock{time.Hour}, wall: wall, posts: make(chan func(), 100)}
+	config := testConfig(path)
+	config.Receiver.Ledger.Retention = testRetention
+	receiver, err := NewReceiver(config, s.core, classes, 16<<20, s.clock, func() time.Time { return s.wall }, func(f func()) { s.posts <- f })
+	if err != nil {
+		t.Fatal(err)
+	}
+	receiver.keys = []signingKey{{secret: activeSecret}}
+	s.Receiver = receiver
+	return s
+}
+
+// pass has real time go by: both clocks move.
+func (s *steppedReceiver) pass(span time.Duration) {
+	s.clock.now += span
+	s.wall = s.wall.Add(span)
+	s.Sweep(s.clock.now)
+}
+
+// deliver delivers an order that happened at a time and is signed at another. What reaches the core is served. It returns
+// the status of the response.
+func (s *steppedReceiver) deliver(id string, event, signed time.Time) int {
+	s.t.Helper()
+	transport := &testutil.Transport{}
+	accepted := len(s.core.accepted)
+	s.serve(transport, netip.AddrPort{}).Data(signedDelivery(activeSecret, id, signed, callPayload("repair-order", "x", event)))
+	if transport.Written.Len() == 0 {
+		(<-s.posts)()
+	}
+	for _, request := range s.core.accepted[accepted:] {
+		request.Responder.Respond(router.Response{Status: router.Served, Body: []byte("done"), MayHaveRun: true})
+	}
+	got := statuses(s.t, transport)
+	if len(got) != 1 {
+		s.t.Fatalf("responses %v", got)
+	}
+	return got[0]
+}
+
+// A step of the wall clock neither has an order forgotten within its window nor refuses a fresh delivery, whether the
+// sender's clock was stepped too or not. The windows are spans of real time and end.
+func TestStepOfTheWallClock(t *testing.T) {
+	for _, step := range []time.Duration{time.Hour, -time.Hour} {
+		t.Run(fmt.Sprint(step), func(t *testing.T) {
+			s := newSteppedReceiver(t, filepath.Join(t.TempDir(), "ledger"), noon)
+			defer s.Close()
+			if got := s.deliver("first", noon, noon); got != 200 || len(s.core.accepted) != 1 {
+				t.Fatalf("response %d, %d requests", got, len(s.core.accepted))
+			}
+			s.pass(time.Minute)
+			s.wall = s.wall.Add(step)
+			s.Sweep(s.clock.now)
+			steady := noon.Add(time.Minute)
+			for name, signed := range map[string]time.Time{"not stepped": steady, "stepped": s.wall} {
+				if got := s.deliver("first", noon, signed); got != 200 || len(s.core.accepted) != 1 {
+					t.Errorf("a repeat by a sender that is %s: response %d, %d requests", name, got, len(s.core.accepted))
+				}
+			}
+			if got := s.deliver("not-stepped", steady, steady); got != 200 {
+				t.Errorf("a fresh order by a sender that is not stepped: response %d", got)
+			}
+			if got := s.deliver("stepped", s.wall, s.wall); got != 200 {
+				t.Errorf("a fresh order by a sender that is stepped: response %d", got)
+			}
+			s.pass(testRetention)
+			if s.outcomes.find("first") != nil {
+				t.Error("an order is kept beyond its window")
+			}
+			ran := len(s.core.accepted)
+			if got := s.deliver("first", noon, steady.Add(testRetention)); got != 400 || len(s.core.accepted) != ran {
+				t.Errorf("a repeat beyond the window: response %d, %d more requests", got, len(s.core.accepted)-ran)
+			}
+		})
+	}
+}
+
+// An order that was forgotten at the end of its window is not run again by a program that starts when the wall clock has
+// been stepped back into it.
+func TestRestartAcrossAStepBackForgetsNoOrder(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ledger")
+	s := newSteppedReceiver(t, path, noon)
+	if got := s.deliver("first", noon, noon); got != 200 {
+		t.Fatalf("response %d", got)
+	}
+	s.pass(testRetention + time.Minute)
+	s.Close()
+	newSteppedReceiver(t, path, s.wall).Close() // compacts, without the order
+	stepped := newSteppedReceiver(t, path, s.wall.Add(-20*time.Minute))
+	defer stepped.Close()
+	if got := stepped.deliver("first", noon, stepped.wall); len(stepped.core.accepted) > 0 {
+		t.Errorf("it ran again: response %d", got)
+	}
+}
+
+// A ledger that failed to write takes orders again once its disk is well. Orders that were rejected meanwhile count as
+// not run, and the outcome of one that was served is recorded.
+func TestLedgerIsWellAgainAfterAFailedWrite(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "ledger")
+	s := newSteppedReceiver(t, path, noon)
+	served := &testutil.Transport{}
+	s.serve(served, netip.AddrPort{}).Data(signedDelivery(activeSecret, "served", noon, callPayload("repair-order", "x", noon)))
+	(<-s.posts)()
+	s.ledger.file.Close() // every write and sync fails from now on
+	s.core.accepted[0].Responder.Respond(router.Response{Status: router.Served, Body: []byte("done"), MayHaveRun: true})
+	rejected := 0
+	for begun := time.Now(); ; rejected++ {
+		if status := s.deliver("order-"+strconv.Itoa(rejected), noon, noon); status == 200 {
+			break
+		}
+		if time.Since(begun) > 10*time.Second {
+			t.Fatal("it takes no orders ten seconds later")
+		}
+		time.Sleep(10 * time.Millisecond)
+	}
+	s.Close()
+	again := newSteppedReceiver(t, path, noon)
+	defer again.Close()
+	if got := again.deliver("served", noon, noon); got != 200 || len(again.core.accepted) > 0 {
+		t.Errorf("the order that was served while the disk failed: response %d, %d requests", got, len(again.core.accepted))
+	}
+	for i := range rejected {
+		if got := again.deliver("order-"+strconv.Itoa(i), noon, noon); got != 200 {
+			t.Errorf("order %d of %d that were rejected: response %d", i, rejected, got)
+		}
+	}
+	if ran := len(again.core.accepted); ran != rejected {
+		t.Errorf("%d of %d rejected orders ran", ran, rejected)
+	}
+}
