Recover the ledger while it runs, and count its windows in real time

One failed write or sync put the ledger out of use until a restart, lost what became of orders, and a full queue dropped outcomes; windows followed a wall clock that may be stepped.

A disk that is full at the start no longer ends the program. A rename whose folder can't be synced is made again. Age and window count by the wall clock at the start moved on by the monotonic one; a delivery is also fresh by the present wall clock.

--- a/internal/server/integrations.go
+++ b/internal/server/integrations.go
@@ -188,14 +188,17 @@
 // logCounters logs one line of counters for each integration that is on.
 func (n *integrations) logCounters() {
 	if n.receiver != nil {
-		counters := n.receiver.Counters
+		counters, ledger := n.receiver.Counters, n.receiver.LedgerCounters()
 		logCounterLine(
 			slog.Uint64("deliveries", counters.Deliveries),
 			slog.Uint64("unauthorized", counters.Unauthorized),
 			slog.Uint64("malformed", counters.Malformed),
 			slog.Uint64("replayed", counters.Replayed),
 			slog.Uint64("joined", counters.Joined),
-			slog.Uint64("ledger_refused", counters.LedgerRefused))
+			slog.Uint64("ledger_refused", counters.LedgerRefused),
+			slog.Uint64("ledger_failures", ledger.Failures),
+			slog.Uint64("ledger_recoveries", ledger.Recoveries),
+			slog.Uint64("ledger_unwritten", ledger.Unwritten))
 	}
 	if n.sender != nil {
 		counters := n.sender.Counters
--- a/internal/webhook/delivery.go
+++ b/internal/webhook/delivery.go
@@ -23,7 +23,7 @@
 		return
 	}
 	r.Counters.Deliveries++
-	id, err := authenticate(request, body, r.keys, r.wallClock(), r.config.Receiver.Tolerance)
+	id, err := authenticate(request, body, r.keys, r.time, r.config.Receiver.Tolerance)
 	if err != nil {
 		r.Counters.Unauthorized++
 		r.logRejection("webhook_delivery_rejected", err)
@@ -101,7 +101,7 @@
 
 // recordOrder writes an order to the ledger and forwards it when it is on the disk.
 func (r *Receiver) recordOrder(id string, order *outcome, request router.Request) {
-	r.ledger.begin(order.ledgerEntry(id), func(err error) {
+	r.ledger.begin(order.ledgerEntry(id), r.time.steady(), func(err error) {
 		r.post(func() { r.orderRecorded(id, order, request, err) })
 	})
 }
--- a/internal/webhook/errors.go
+++ b/internal/webhook/errors.go
@@ -124,7 +124,7 @@
 // Why an order can't be recorded in the ledger, and what damage its file may have.
 var (
 	errLedgerFull   = errors.New("ledger is full")
-	errLedgerBroken = errors.New("ledger is out of use after a failed write")
+	errLedgerBroken = errors.New("ledger is out of use until its file is whole again")
 	errDamagedLine  = errors.New("damaged")
 )
 
--- /dev/null
+++ b/internal/webhook/faulty_disk_test.go
@@ -0,0 +1,188 @@
+package webhook
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+)
+
+// faultyDisk is the system's disk, of which single operations fail while it is ill.
+type faultyDisk struct {
+	systemDisk
+	mu     sync.Mutex
+	random *rand.Rand
+	ill    bool
+	failed int
+}
+
+// fails reports whether the next operation fails, and how.
+func (d *faultyDisk) fails() error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if !d.ill || d.random.IntN(3) == 0 {
+		return nil
+	}
+	d.failed++
+	return []error{syscall.ENOSPC, syscall.EIO, syscall.EDQUOT}[d.random.IntN(3)]
+}
+
+func (d *faultyDisk) setIll(ill bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.ill = ill
+}
+
+func (d *faultyDisk) Open(path string, flag int, mode os.FileMode) (diskFile, error) {
+	if flag != os.O_RDONLY {
+		if err := d.fails(); err != nil {
+			return nil, &os.PathError{Op: "open", Path: path, Err: err}
+		}
+	}
+	file, err := d.systemDisk.Open(path, flag, mode)
+	if err != nil {
+		return nil, err
+	}
+	return &faultyFile{diskFile: file, disk: d}, nil
+}
+
+func (d *faultyDisk) Rename(from, to string) error {
+	if err := d.fails(); err != nil {
+		return err
+	}
+	return d.systemDisk.Rename(from, to)
+}
+
+func (d *faultyDisk) SyncDir(dir string) error {
+	if err := d.fails(); err != nil {
+		return err
+	}
+	return d.systemDisk.SyncDir(dir)
+}
+
+// faultyFile is a file on a faulty disk. A write that fails leaves a part of its bytes.
+type faultyFile struct {
+	diskFile
+	disk *faultyDisk
+}
+
+func (f *faultyFile) Write(b []byte) (int, error) {
+	if err := f.disk.fails(); err != nil {
+		n, _ := f.diskFile.Write(b[:len(b)*2/3])
+		return n, err
+	}
+	return f.diskFile.Write(b)
+}
+
+func (f *faultyFile) Sync() error {
+	if err := f.disk.fails(); err != nil {
+		return err
+	}
+	return f.diskFile.Sync()
+}
+
+func (f *faultyFile) Truncate(size int64) error {
+	if err := f.disk.fails(); err != nil {
+		return err
+	}
+	return f.diskFile.Truncate(size)
+}
+
+// Whatever a disk does for a while, and whether or not the program ends meanwhile: an order that was recorded is known
+// after a restart and never forgotten, and once the disk is well what became of each order is in the file, an order that
+// was rejected being one that never ran.
+func TestLedgerOnADiskThatFailsForAWhile(t *testing.T) {
+	for seed := range uint64(8) {
+		t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+			t.Parallel()
+			random := rand.New(rand.NewPCG(seed, 0))
+			disk := &faultyDisk{random: rand.New(rand.NewPCG(seed, 1))}
+			path := filepath.Join(t.TempDir(), "ledger")
+			open := func() (*ledger, map[string]entryState) {
+				l, content, err := openLedger(testLedger(path), noon, disk)
+				if err != nil {
+					t.Fatal(err)
+				}
+				states := map[string]entryState{}
+				for _, entry := range content.entries {
+					states[entry.ID] = entry.State
+				}
+				return l, states
+			}
+			l, _ := open()
+			want := map[string]entryState{} // of each order that was recorded, as it was told last
+			rejected := map[string]bool{}
+			for n := range 40 {
+				disk.setIll(random.IntN(2) == 0)
+				entry := ledgerEntry{ID: fmt.Sprint("order-", n), EventTime: noon}
+				recorded := make(chan error, 1)
+				l.begin(entry, noon, func(err error) { recorded <- err })
+				if <-recorded != nil {
+					rejected[entry.ID] = true
+					if random.IntN(2) == 0 {
+						disk.setIll(false)
+						awaitRecovery(t, l)
+					}
+				} else {
+					want[entry.ID] = stateBegun
+					if random.IntN(2) == 0 {
+						entry.State = stateEnded
+						l.update(entry, noon)
+						want[entry.ID] = stateEnded
+					}
+				}
+				if random.IntN(10) == 0 { // the program ends while the disk is ill
+					disk.setIll(true)
+					l.close()
+					disk.setIll(random.IntN(2) == 0) // and starts again, maybe still
+					var found map[string]entryState
+					l, found = open()
+					for id := range want {
+						if found[id] == "" {
+							t.Fatalf("%s was recorded and is forgotten", id)
+						}
+						want[id] = found[id] // an outcome that was lost stays "begun": it may have run
+					}
+					clear(rejected) // what the file has of them counts as begun
+				}
+			}
+			disk.setIll(false)
+			awaitRecovery(t, l)
+			if err := l.close(); err != nil {
+				t.Fatal(err)
+			}
+			l, found := open()
+			defer l.close()
+			for id, state := range want {
+				if found[id] != state {
+					t.Errorf("%s is %q, want %q", id, found[id], state)
+				}
+			}
+			for id := range rejected {
+				if found[id] != "" {
+					t.Errorf("%s was rejected, and is %q", id, found[id])
+				}
+			}
+			if disk.failed == 0 {
+				t.Error("the disk never failed")
+			}
+		})
+	}
+}
+
+// awaitRecovery waits until a ledger records orders.
+func awaitRecovery(t *testing.T, l *ledger) {
+	t.Helper()
+	for begun := time.Now(); time.Since(begun) < 20*time.Second; time.Sleep(5 * time.Millisecond) {
+		recorded := make(chan error, 1)
+		l.begin(ledgerEntry{ID: "probe", EventTime: noon}, noon, func(err error) { recorded <- err })
+		if <-recorded == nil {
+			return
+		}
+	}
+	t.Fatal("the ledger did not recover")
+}
--- a/internal/webhook/ledger_compaction.go
+++ b/internal/webhook/ledger_compaction.go
@@ -2,9 +2,13 @@
 
 import (
 	"errors"
+	"io"
 	"io/fs"
+	"math"
 	"os"
 	"path/filepath"
+	"slices"
+	"time"
 )
 
 const (
@@ -12,95 +16,110 @@
 	ledgerFileMode  = 0o600
 )
 
-// compact replaces the file by one that holds only the last entry of each order that is still retained, and returns
-// these entries in the order of the orders' first ones. The ledger appends to the new file.
-func (l *ledger) compact() ([]ledgerEntry, error) {
-	entries, err := l.readLastEntries()
-	if err != nil {
-		return nil, err
-	}
-	var retained []ledgerEntry
-	var content []byte
-	for _, entry := range entries {
-		if l.isRetained(entry) {
-			retained = append(retained, entry)
-			content = append(content, encodeEntry(entry)...)
-		}
-	}
-	file, err := l.replaceFile(content)
+// wholeFile has read take a file to its end.
+const wholeFile = math.MaxInt64
+
+// ledgerContent is what a ledger's file says.
+type ledgerContent struct {
+	entries []ledgerEntry // the last one of each order, in the order of the orders' first ones
+	horizon time.Time     // orders that happened up to then may have been forgotten; zero: none was
+	size    int64         // of the good part of the file
+}
+
+// compact replaces the file by one that holds only the last entry of each order that is still retained. The ledger appends
+// to the new file.
+func (l *ledger) compact() error {
+	content, err := l.read(l.size)
 	if err != nil {
-		return nil, &LedgerError{Path: l.path, Err: err}
-	}
-	if l.file != nil {
-		l.file.Close()
+		return err
 	}
-	l.file = file
-	l.size = int64(len(content))
-	l.compactedAt = l.wallClock()
-	return retained, nil
+	l.retain(&content)
+	return l.replace(content)
 }
 
-func (l *ledger) isRetained(entry ledgerEntry) bool {
-	return entry.State != stateFreed && l.wallClock().Sub(entry.EventTime) <= l.retention
+// retain drops what is not retained any longer. Where that is for its age, the horizon moves on, so that no wall clock, were
+// it stepped back, brings a forgotten order's time again.
+func (l *ledger) retain(content *ledgerContent) {
+	expired := l.now.Add(-l.retention)
+	content.entries = slices.DeleteFunc(content.entries, func(entry ledgerEntry) bool {
+		isExpired := entry.EventTime.Before(expired)
+		if isExpired && entry.EventTime.After(content.horizon) {
+			content.horizon = entry.EventTime
+		}
+		return isExpired || entry.State == stateFreed
+	})
 }
 
-// readLastEntries reads the last entry of each order. A ledger that does not exist yet has none.
-func (l *ledger) readLastEntries() ([]ledgerEntry, error) {
-	file, err := os.Open(l.path)
+// read reads the good part of the file up to a size. A ledger that does not exist yet is empty.
+func (l *ledger) read(size int64) (content ledgerContent, err error) {
+	file, err := l.disk.Open(l.path, os.O_RDONLY, 0)
 	if errors.Is(err, fs.ErrNotExist) {
-		return nil, nil
+		return content, nil
 	}
 	if err != nil {
-		return nil, &LedgerError{Path: l.path, Err: err}
+		return content, &LedgerError{Path: l.path, Err: err}
 	}
 	defer file.Close()
-	var entries []ledgerEntry
 	indexByID := map[string]int{}
-	err = readEntries(l.path, file, func(entry ledgerEntry) {
+	content.size, err = readEntries(l.path, io.LimitReader(file, size), func(entry ledgerEntry) {
+		if entry.State == stateHorizon {
+			content.horizon = entry.EventTime
+			return
+		}
 		index, known := indexByID[entry.ID]
 		if known {
-			entries[index] = entry
+			content.entries[index] = entry
 			return
 		}
-		indexByID[entry.ID] = len(entries)
-		entries = append(entries, entry)
+		indexByID[entry.ID] = len(content.entries)
+		content.entries = append(content.entries, entry)
 	})
-	return entries, err
+	return content, err
 }
 
-// replaceFile writes a new file and renames it to the ledger's path. Both are on the disk when it returns the file.
-func (l *ledger) replaceFile(content []byte) (*os.File, error) {
+// encode returns the content as lines.
+func (c *ledgerContent) encode() (lines []byte) {
+	if !c.horizon.IsZero() {
+		lines = encodeEntry(ledgerEntry{EventTime: c.horizon, State: stateHorizon})
+	}
+	for _, entry := range c.entries {
+		lines = append(lines, encodeEntry(entry)...)
+	}
+	return lines
+}
+
+// replace writes a new file, renames it to the ledger's path and has the ledger append to it. Both are on the disk when it
+// returns without an error. After one the ledger's file is the old one or, where the rename came to pass, the new one.
+func (l *ledger) replace(content ledgerContent) error {
+	lines := content.encode()
 	path := l.path + compactedSuffix
-	file, err := os.OpenFile(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, ledgerFileMode)
+	file, err := l.disk.Open(path, os.O_CREATE|os.O_TRUNC|os.O_WRONLY|os.O_APPEND, ledgerFileMode)
 	if err != nil {
-		return nil, err
+		return &LedgerError{Path: l.path, Err: err}
 	}
-	if err := l.installFile(file, content); err != nil {
+	if err := l.install(file, path, lines); err != nil {
 		file.Close()
-		return nil, err
+		return &LedgerError{Path: l.path, Err: err}
+	}
+	if l.file != nil {
+		l.file.Close()
+	}
+	l.file = file
+	l.size = int64(len(lines))
+	l.compactedAt = l.now
+	if err := l.disk.SyncDir(filepath.Dir(l.path)); err != nil {
+		return &LedgerError{Path: l.path, Err: err}
 	}
-	return file, nil
+	return nil
 }
 
-func (l *ledger) installFile(file *os.File, content []byte) error {
-	if _, err := file.Write(content); err != nil {
+// install writes lines to a new file and renames it to the ledger's path.
+func (l *ledger) install(file diskFile, path string, lines []byte) error {
+	if _, err := file.Write(lines); err != nil {
 		return err
 	}
 	if err := file.Sync(); err != nil {
 		return err
 	}
-	if err := os.Rename(file.Name(), l.path); err != nil {
-		return err
-	}
-	return syncDir(filepath.Dir(l.path))
-}
-
-// syncDir makes a rename in a directory durable.
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return err
-	}
-	defer d.Close()
-	return d.Sync()
+	return l.disk.Rename(path, l.path)
 }
--- a/internal/webhook/ledger_format.go
+++ b/internal/webhook/ledger_format.go
@@ -26,6 +26,9 @@
 	stateBegun entryState = "begun" // it may run from now on
 	stateEnded entryState = "ended" // with the entry's outcome
 	stateFreed entryState = "freed" // it is proven not to have run
+
+	// stateHorizon is of an entry that belongs to no order: those that happened up to its time may have been forgotten.
+	stateHorizon entryState = "horizon"
 )
 
 // ledgerEntry is a line of the ledger. The last entry of an order counts.
@@ -64,22 +67,23 @@
 	return e, err
 }
 
-// readEntries calls visit for each entry. A last line that was cut short was never synced, so its order was never
+// readEntries calls visit for each entry and returns the size of them all. A last line that was cut short was never synced, so its order was never
 // forwarded; damage anywhere else leaves open which orders ran, and is a LedgerError.
-func readEntries(path string, r io.Reader, visit func(ledgerEntry)) error {
+func readEntries(path string, r io.Reader, visit func(ledgerEntry)) (size int64, err error) {
 	in := bufio.NewReaderSize(r, maxLedgerLine)
 	for number := 1; ; number++ {
 		line, err := in.ReadSlice('\n')
 		if errors.Is(err, io.EOF) {
-			return nil
+			return size, nil
 		}
 		if err != nil {
-			return &LedgerError{Path: path, Line: number, Err: err}
+			return size, &LedgerError{Path: path, Line: number, Err: err}
 		}
 		entry, err := decodeEntry(line)
 		if err != nil {
-			return &LedgerError{Path: path, Line: number, Err: err}
+			return size, &LedgerError{Path: path, Line: number, Err: err}
 		}
 		visit(entry)
+		size += int64(len(line))
 	}
 }
--- a/internal/webhook/outcome.go
+++ b/internal/webhook/outcome.go
@@ -119,7 +119,7 @@
 	if p.outcome.inLedger {
 		entry := p.outcome.ledgerEntry(p.id)
 		entry.State = stateFreed
-		p.receiver.ledger.update(entry)
+		p.receiver.ledger.update(entry, p.receiver.time.steady())
 	}
 	if response.DeadlineExceeded {
 		p.outcome.respondToAll(httpResponse{status: statusGatewayTimeout})
@@ -141,7 +141,7 @@
 		entry.State = stateEnded
 		entry.Status = status
 		entry.Body = body
-		p.receiver.ledger.update(entry)
+		p.receiver.ledger.update(entry, p.receiver.time.steady())
 	}
 	p.outcome.respondToAll(p.outcome.response())
 }
@@ -160,18 +160,18 @@
 
 // Sweep forgets outcomes that are older than the configuration has them kept.
 func (r *Receiver) Sweep(now time.Duration) {
-	wallNow := r.wallClock()
+	steadyNow := r.time.steady()
 	for id, o := range r.outcomes.byID {
-		if o.completed && r.isExpired(o, now, wallNow) {
+		if o.completed && r.isExpired(o, now, steadyNow) {
 			r.outcomes.remove(id)
 		}
 	}
 }
 
 // isExpired reports whether an outcome's time is over: an order's counts from its event, as in the ledger.
-func (r *Receiver) isExpired(o *outcome, now time.Duration, wallNow time.Time) bool {
+func (r *Receiver) isExpired(o *outcome, now time.Duration, steadyNow time.Time) bool {
 	if o.inLedger {
-		return wallNow.Sub(o.eventTime) > r.config.Receiver.Ledger.Retention
+		return steadyNow.Sub(o.eventTime) > r.config.Receiver.Ledger.Retention
 	}
 	return now-o.completedAt > r.config.Receiver.DedupeFor
 }
--- a/internal/webhook/payload.go
+++ b/internal/webhook/payload.go
@@ -133,12 +133,14 @@
 	return request, p.Timestamp, nil
 }
 
-// checkRetention rejects orders that are older than the ledger reaches: they may have run and been forgotten.
+// checkRetention rejects orders that are older than the ledger reaches: they may have run and been forgotten. Their age is
+// a span of real time, so a step of the wall clock changes none.
 func (r *Receiver) checkRetention(eventTime time.Time) error {
 	tolerance := r.config.Receiver.Tolerance
 	maxAge := r.config.Receiver.Ledger.Retention - 2*tolerance
-	age := r.wallClock().Sub(eventTime)
-	if age > maxAge || age < -tolerance {
+	steady := r.time.steady()
+	latest := r.time.latest().Add(tolerance)
+	if steady.Sub(eventTime) > maxAge || eventTime.After(latest) || !eventTime.After(r.horizon) {
 		return malformedField("timestamp", "the order's timestamp is outside the ledger's retention")
 	}
 	return nil
--- a/internal/webhook/receiver.go
+++ b/internal/webhook/receiver.go
@@ -46,10 +46,11 @@
 	classes          []Class
 	classIndex       map[string]int
 	clock            Clock
-	wallClock        func() time.Time
+	time             *deliveryClock
 	post             func(func())
 	keys             []signingKey
-	ledger           *ledger // nil: none is configured, and orders are rejected
+	ledger           *ledger   // nil: none is configured, and orders are rejected
+	horizon          time.Time // orders that happened up to then may have been forgotten
 	outcomes         *outcomeTable
 	nextRejectionLog time.Duration
 	Counters         Counters
@@ -69,7 +70,7 @@
 		classes:    classes,
 		classIndex: map[string]int{},
 		clock:      clock,
-		wallClock:  wallClock,
+		time:       newDeliveryClock(clock, wallClock),
 		post:       post,
 		keys:       keys,
 		outcomes:   newOutcomeTable(maxOutcomeBytes),
@@ -88,17 +89,31 @@
 
 // openLedger opens the ledger and recovers the outcomes that it holds.
 func (r *Receiver) openLedger() error {
-	ledger, entries, err := openLedger(r.config.Receiver.Ledger, r.wallClock)
+	ledger, content, err := openLedger(r.config.Receiver.Ledger, r.time.steady(), systemDisk{})
 	if err != nil {
 		return err
 	}
 	r.ledger = ledger
-	for _, entry := range entries {
+	r.horizon = content.horizon
+	for _, entry := range content.entries {
 		r.outcomes.add(entry.ID, recoveredOutcome(entry))
 	}
 	return nil
 }
 
+// LedgerCounters count what became of the ledger's file: failed writes and syncs, recoveries, and entries that are owed to
+// it now.
+type LedgerCounters struct{ Failures, Recoveries, Unwritten uint64 }
+
+// LedgerCounters returns the counters of the ledger; zero where there is none.
+func (r *Receiver) LedgerCounters() LedgerCounters {
+	if r.ledger == nil {
+		return LedgerCounters{}
+	}
+	counters := &r.ledger.counters
+	return LedgerCounters{counters.failures.Load(), counters.recoveries.Load(), counters.unwritten.Load()}
+}
+
 // Close ends the ledger's goroutine when all entries are written. No delivery may arrive after it.
 func (r *Receiver) Close() error {
 	if r.ledger == nil {
--- a/internal/webhook/signature.go
+++ b/internal/webhook/signature.go
@@ -80,17 +80,16 @@
 }
 
 // authenticate returns the webhook-id of a delivery that an active key signed and whose timestamp is within the
-// tolerance of now. Its errors are AuthenticationErrors.
-func authenticate(request *httpRequest, body []byte, keys []signingKey, now time.Time, tolerance time.Duration) (id string, err error) {
+// tolerance of the present. Its errors are AuthenticationErrors.
+func authenticate(request *httpRequest, body []byte, keys []signingKey, clock *deliveryClock, tolerance time.Duration) (id string, err error) {
 	headers, ok := parseSignatureHeaders(request)
 	if !ok {
 		return "", &AuthenticationError{Reason: Unsigned}
 	}
-	if !headers.isSignedByAny(keys, body, now) {
+	if !headers.isSignedByAny(keys, body, clock.steady()) {
 		return "", &AuthenticationError{Reason: NoMatchingKey}
 	}
-	age := now.Sub(headers.sentAt)
-	if age > tolerance || age < -tolerance {
+	if !clock.isFresh(headers.sentAt, tolerance) {
 		return "", &AuthenticationError{Reason: StaleTimestamp}
 	}
 	return headers.id, nil
