--- a/policy/slowstart_test.go
+++ b/policy/slowstart_test.go
@@ -3,6 +3,7 @@
 import (
 	"math/rand/v2"
 	"testing"
+	"time"
 )
 
 func TestSlowStartBoundsAttempts(t *testing.T) {
@@ -30,6 +31,61 @@
 	}
 }
 
+// A worker that could not be reached, or was silent, may have been started anew before it answers again, and its start is
+// told later. Until then it counts as in slow start; after that, where none was told, as warm.
+func TestReturningWorkerIsInSlowStartUntilAStartWouldBeTold(t *testing.T) {
+	b := newHarness(t, config(), 5)
+	for range 200 { // 10 a second over 5 workers
+		b.serveWithHousekeeping(FunctionID(b.now%50), 95*ms)
+		b.advance(5 * ms)
+	}
+	b.failAt(1, Unreachable)
+	b.advance(2 * time.Second)
+	b.handle(HealthCheckCompleted{Worker: 1, Outcome: Served})
+	early := b.attemptsAt(1, 200, 10*ms) // 2 s
+	// The least share of 0.2 at a multiple of 2 allows 0.4 of the mean, 2 a second; one that was warm takes 40 a second.
+	if early > 4 {
+		t.Errorf("%d sends within 2 s of the return of a worker that may be cold", early)
+	}
+	b.advance(2 * time.Second)
+	if late := b.attemptsAt(1, 200, 10*ms); late < 20 {
+		t.Errorf("%d sends within 2 s to a worker whose start was not told", late)
+	}
+}
+
+// failAt has attempts go out until one goes to a worker, and ends that with an outcome; the others are served.
+func (b *harness) failAt(worker WorkerID, outcome Outcome) {
+	for f := FunctionID(5000); ; f++ {
+		id, acts := b.arrive(0, f)
+		s, ok := first[StartAttempt](acts)
+		if !ok {
+			b.t.Fatal("nothing was sent")
+		}
+		if s.Worker == worker {
+			b.handle(AttemptCompleted{Request: id, Worker: worker, Outcome: outcome})
+			return
+		}
+		b.handle(AttemptCompleted{Request: id, Worker: s.Worker, Outcome: Served, Closed: true, Took: 100 * ms})
+	}
+}
+
+// attemptsAt sends requests for new functions, all of which are served, and counts those that go to one worker.
+func (b *harness) attemptsAt(worker WorkerID, requests int, interval time.Duration) (sent int) {
+	for f := range requests {
+		b.advance(interval)
+		id, acts := b.arrive(0, FunctionID(10_000+int(b.now)+f))
+		s, ok := first[StartAttempt](acts)
+		if !ok {
+			continue
+		}
+		if s.Worker == worker {
+			sent++
+		}
+		b.handle(AttemptCompleted{Request: id, Worker: s.Worker, Outcome: Served, LoadStatus: AlreadyLoaded, Closed: true, Took: 95 * ms})
+	}
+	return sent
+}
+
 // Of many routers, blind to each other, each may send a worker that just started only part of a call. But where
 // most of a fleet starts at once, that part is of what the warm rest takes, not of a mean that the cold ones lower:
 // the rest would be overrun while new workers have next to nothing to do.
