--- /dev/null
+++ b/internal/eventloop/unix_test.go
@@ -0,0 +1,51 @@
+package eventloop
+
+import (
+	"bytes"
+	"io"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// All that is written over a Unix socket arrives, also where the peer takes it slowly: nbio drops what a write to one leaves
+// over.
+func TestNothingIsLostOverASlowUnixSocket(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "worker.sock")
+	ln, err := net.Listen("unix", path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	l := start(t, 10, func(c *Conn) AcceptedHandler { return &echo{c: c, ends: make(chan error, 1)} })
+	d := &dialled{make(chan error, 1), make(chan error, 1)}
+	made := make(chan *Conn, 1)
+	l.Post(func() { made <- l.Dial("unix", path, time.Second, d) })
+	c := <-made
+	peer, err := ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer peer.Close()
+	if err := <-d.opened; err != nil {
+		t.Fatal(err)
+	}
+	const writes = 30
+	body := bytes.Repeat([]byte("0123456789abcdef"), 1<<10)
+	wrote := make(chan bool)
+	for range writes { // each in a turn of its own
+		l.Post(func() {
+			c.Write(body)
+			l.Post(func() { wrote <- true })
+		})
+		<-wrote
+	}
+	want := bytes.Repeat(body, writes)
+	got := make([]byte, len(want))
+	peer.SetReadDeadline(time.Now().Add(5 * time.Second))
+	n, err := io.ReadFull(peer, got)
+	if err != nil || !bytes.Equal(got, want) {
+		t.Errorf("%d of %d bytes arrived, the same ones: %v, %v", n, len(want), bytes.Equal(got[:n], want[:n]), err)
+	}
+}
