--- a/internal/eventloop/closing_test.go
+++ b/internal/eventloop/closing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"errors"
+	"io"
+	"net"
 	"syscall"
 	"testing"
 	"time"
@@ -102,3 +104,33 @@
 		t.Errorf("the connection ended with %v", err)
 	}
 }
+
+// A connection that is closed behind a response which its client takes slowly is closed once the client has it.
+func TestResponseIsTakenBeforeItsConnectionCloses(t *testing.T) {
+	const size = 80 << 10
+	l := start(t, 1, func(c *Conn) AcceptedHandler {
+		c.socket.SetWriteBuffer(4 << 10)
+		return &closingHandler{echo{c: c, ends: make(chan error, 1)}, size}
+	})
+	client := dial(t, l)
+	client.(*net.TCPConn).SetReadBuffer(4 << 10)
+	if _, err := client.Write([]byte("request")); err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(50 * time.Millisecond) // the kernel's buffers are full, and the rest waits
+	got, err := io.ReadAll(client)
+	if err != nil || len(got) != size {
+		t.Errorf("%d of %d bytes arrived, %v", len(got), size, err)
+	}
+}
+
+// closingHandler responds to whatever it is sent, and closes.
+type closingHandler struct {
+	echo
+	size int
+}
+
+func (h *closingHandler) Data([]byte) {
+	h.c.Write(make([]byte, h.size))
+	h.c.CloseAfterFlush()
+}
