Keep what a Unix socket did not take, and close behind a response once it is taken

nbio keeps the rest of a short write for TCP alone: over a slow Unix socket bytes were dropped in the middle of the stream. Closing behind a response waits until the client has taken it, within the time of a connection that takes nothing. A command that was queued in the turn in which its connection ended counts as unsent, which it was: it may go over another connection.

--- a/internal/eventloop/accepted.go
+++ b/internal/eventloop/accepted.go
@@ -187,6 +187,8 @@
 	for c := range l.accepted {
 		unread := c.unreadByPeer.Load() > 0
 		switch {
+		case c.closeOnceTaken && !unread:
+			c.Close()
 		case !c.activity.expired(l.now, unread) || c.busy():
 		case unread || c.activity.partialSince > 0: // it reads or writes too slowly
 			c.Close()
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -17,9 +17,11 @@
 	isAccepted bool       // by a listener; else this program opened it
 	handler    Handler    // of an accepted connection from the turn on in which it is accepted
 
-	established bool // it came up, and its handler knows
-	closed      bool // by this side: nothing is written to it or taken from it any more
-	ended       bool // the poller reported its end
+	isUnix         bool // it is a Unix socket, which this program opened
+	established    bool // it came up, and its handler knows
+	closeOnceTaken bool // by sweep, once the peer has taken what was written
+	closed         bool // by this side: nothing is written to it or taken from it any more
+	ended          bool // the poller reported its end
 
 	outgoing     [][]byte     // what this turn writes
 	unreadByPeer atomic.Int64 // bytes that the peer has yet to take; the poller takes them off
@@ -58,7 +60,7 @@
 	}
 }
 
-// CloseAfterFlush writes what is queued and closes.
+// CloseAfterFlush writes what is queued and closes once the peer has taken it.
 func (c *Conn) CloseAfterFlush() {
 	if !c.closed && c.established {
 		err := c.writeOutgoing()
@@ -66,6 +68,10 @@
 			c.fail(err)
 		}
 		c.outgoing = c.outgoing[:0]
+		if err == nil && c.unreadByPeer.Load() > 0 {
+			c.closeOnceTaken = true // by sweep, which also ends one that takes nothing
+			return
+		}
 	}
 	c.Close()
 }
--- a/internal/eventloop/dial.go
+++ b/internal/eventloop/dial.go
@@ -22,7 +22,7 @@
 // DialAsync is first reported as connected, and one that connects at once leaves its write event set, on which the
 // poller then spins.
 func (l *Loop) Dial(network, addr string, timeout time.Duration, h DialHandler) *Conn {
-	c := &Conn{loop: l, handler: h}
+	c := &Conn{loop: l, handler: h, isUnix: network == "unix"}
 	l.dials.Go(func() {
 		socket, err := l.dial(network, addr, timeout)
 		if err == nil {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -143,6 +143,9 @@
 		if now-l.sweptAt > sweepInterval {
 			l.sweep()
 		}
+		if len(l.toFlush) > 0 {
+			next = min(next, now+stalledPause)
+		}
 		timer.Reset(max(min(next, now+sweepInterval)-l.clock(), 0))
 	}
 }
--- a/internal/eventloop/write.go
+++ b/internal/eventloop/write.go
@@ -22,16 +22,30 @@
 
 // flush writes what this turn queued.
 func (l *Loop) flush() {
+	stalled := l.toFlush[:0]
 	for _, c := range l.toFlush {
-		c.flush()
+		if !c.flush() {
+			stalled = append(stalled, c)
+		}
 	}
-	l.toFlush = l.toFlush[:0]
+	l.toFlush = stalled // to be flushed again in the next turn
 }
 
-func (c *Conn) flush() {
-	if c.closed || !c.established {
+// flush writes what is queued, and reports whether nothing is left that has to be written again.
+func (c *Conn) flush() bool {
+	switch {
+	case c.closed || !c.established:
 		c.unsentBytes += totalSize(c.outgoing)
-	} else {
+	case c.isUnix:
+		done, err := c.writeUnix()
+		if err == nil && !done {
+			return false
+		}
+		if err != nil {
+			c.unsentBytes += totalSize(c.outgoing)
+			c.fail(err)
+		}
+	default:
 		err := c.writeOutgoing()
 		if err != nil {
 			c.fail(err)
@@ -39,6 +53,7 @@
 	}
 	clear(c.outgoing)
 	c.outgoing = c.outgoing[:0]
+	return true
 }
 
 // writeOutgoing writes what is queued in as few system calls as it takes, and keeps count of what the peer has yet to
@@ -120,7 +135,7 @@
 
 // UnsentBytes is how many of the last bytes that were written to a connection that has ended never left this program:
 // the kernel did not take them. What it took may have reached the peer.
-func (c *Conn) UnsentBytes() int { return c.unsentBytes }
+func (c *Conn) UnsentBytes() int { return c.unsentBytes + totalSize(c.outgoing) }
 
 // UnwrittenBytes is how many bytes accepted peers have yet to take, what this turn queued for them included.
 func (l *Loop) UnwrittenBytes() int {
