Presume that a worker that was ejected and responds again has been started anew

A worker that fell silent may come back as another process under its old name, and routers treated it as the warm one that they knew until its start had been read: 32 requests in 2 s where slow start allows 4. A worker that was ejected counts as in slow start for the 3 s in which a start would be told and read; a start that is told goes before that.

Ruled out: the same after each reset, which bad peers cause without a restart; a process can't be back within the dial that finds it well.

--- a/internal/server/signals_process_test.go
+++ b/internal/server/signals_process_test.go
@@ -2,11 +2,16 @@
 
 import (
 	"encoding/json"
+	"fmt"
+	"net"
+	"os"
 	"path/filepath"
 	"regexp"
 	"syscall"
 	"testing"
 	"time"
+
+	"crankhold/internal/fake"
 )
 
 // Signals that come one after the other, and those that come while the program starts, are all acted on, and once: many
@@ -50,3 +55,45 @@
 		t.Errorf("it began to drain %d times", draining)
 	}
 }
+
+// Of many SIGHUPs in a row, each with another file, the last file wins, also while requests are under way; some of the
+// files can't be used and change nothing.
+func TestLastOfManyReloadsWins(t *testing.T) {
+	_, listen, document := siteFor(t, 2, nil)
+	path := filepath.Join(t.TempDir(), "config.json")
+	writeConfig(t, path, document)
+	p := startProgram(t, path, listen)
+	client := p.client()
+	last, err := net.ListenPacket("udp", "127.0.0.1:0") // the discovery server of the last file
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer last.Close()
+	const reloads = 61
+	for n := range reloads {
+		document["names"] = fmt.Sprintf("127.0.0.1:%d", 2000+n)
+		if n == reloads-1 {
+			document["names"] = last.LocalAddr().String()
+		}
+		fresh := path + ".fresh"
+		writeConfig(t, fresh, document)
+		if n%7 == 3 {
+			writeText(t, fresh, `{"names":`)
+		}
+		if err := os.Rename(fresh, path); err != nil {
+			t.Fatal(err)
+		}
+		p.cmd.Process.Signal(syscall.SIGHUP)
+		if answer, err := client.Do(callOf(n + 1)); err != nil || answer.Verdict != fake.Served {
+			t.Fatalf("after %d reloads: %+v, %v", n, answer, err)
+		}
+	}
+	last.SetReadDeadline(time.Now().Add(10 * time.Second))
+	if _, _, err := last.ReadFrom(make([]byte, 512)); err != nil {
+		t.Errorf("the discovery server of the last file was not asked: %v", err)
+	}
+	reloaded := regexp.MustCompile(`event=config_reloaded names=(\S+)`).FindAllStringSubmatch(p.output(), -1)
+	if len(reloaded) == 0 || reloaded[len(reloaded)-1][1] != last.LocalAddr().String() {
+		t.Errorf("the last reload was of %v", reloaded)
+	}
+}
--- a/policy/health.go
+++ b/policy/health.go
@@ -18,7 +18,12 @@
 	}
 }
 
+// responded takes in that w responds. After an ejection it may be another process than before.
 func (p *Policy) responded(w *worker) {
+	if w.consecutiveFailures > 0 {
+		w.returnedAt = p.now
+		p.resetSlowStart(w)
+	}
 	w.lastResponse, w.consecutiveFailures, w.ejectedUntil = p.now, 0, 0
 }
 
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -1,9 +1,16 @@
 package policy
 
 import "math"
+import "time"
 import "crankhold/internal/stats"
 
-const slowStartMargin = 0.7 // part of the overload multiple that is used: chance needs the rest
+const (
+	slowStartMargin = 0.7 // part of the overload multiple that is used: chance needs the rest
+
+	// restartReportTime is after how long a router has read that a worker was started, as a rule: discovery has told it after
+	// 1.5 s, and is asked every 0.75 s, with a response or two lost.
+	restartReportTime = 3 * time.Second
+)
 
 // slowStartAdmits guards a worker that warms up from all routers together: each sends it a part of the work.
 func (p *Policy) slowStartAdmits(w *worker) bool { return w.slowStart.Tokens > 0 || p.warmth(w) >= 1 }
@@ -11,13 +18,28 @@
 // warmth is the least share of its full capacity that w has now.
 func (p *Policy) warmth(w *worker) float64 {
 	c := &p.cfg
-	if w.Started == 0 || c.SlowStartDuration <= 0 || c.OverloadWindow <= 0 || c.OverloadMultiple <= 0 {
+	started := p.presumedStart(w)
+	if started == 0 || c.SlowStartDuration <= 0 || c.OverloadWindow <= 0 || c.OverloadMultiple <= 0 {
 		return 1
 	}
-	age := stats.Clamp(float64(p.now-w.Started)/float64(c.SlowStartDuration), 0, 1)
+	age := stats.Clamp(float64(p.now-started)/float64(c.SlowStartDuration), 0, 1)
 	return c.SlowStartInitialCapacity + (1-c.SlowStartInitialCapacity)*age
 }
 
+// presumedStart is when w started, 0 for long ago. One that could not be reached, or was silent, may have been started anew
+// before it responded again: it is presumed to, until that would have been reported.
+func (p *Policy) presumedStart(w *worker) time.Duration {
+	if w.returnedAt > 0 && p.now-w.returnedAt < restartReportTime {
+		return max(w.Started, w.returnedAt)
+	}
+	return w.Started
+}
+
+// resetSlowStart gives w its first token by chance, so that routers take turns.
+func (p *Policy) resetSlowStart(w *worker) {
+	w.slowStart.Tokens = -p.rng.Float64() * p.classes[0].run.Mean
+}
+
 // updateCapacities estimates what workers can do if warm: their size, to a power learned from the runs.
 func (p *Policy) updateCapacities() {
 	power, work, capacity := 1+stats.Clamp(p.sizeEffect.SumY/(p.sizeEffect.SumX+sizePrior), 0, 2), 0.0, 0.0
--- a/policy/workers.go
+++ b/policy/workers.go
@@ -20,6 +20,7 @@
 	pendingLoads, consecutiveFailures     int
 	checking                              bool // a health check is in flight
 	lastCheck, lastResponse, ejectedUntil time.Duration
+	returnedAt                            time.Duration // when it responded after it was ejected; 0: it never did
 }
 
 func (p *Policy) endpointsListed(l EndpointList) {
@@ -43,7 +44,8 @@
 				replica.unloaded()
 			}
 			w.consecutiveFailures, w.ejectedUntil, w.servedWork = 0, 0, 0
-			w.slowStart.Tokens = -p.rng.Float64() * p.classes[0].run.Mean // by chance: routers take turns
+			w.returnedAt = 0
+			p.resetSlowStart(w)
 			w.queueSlope = stats.Regression{}
 			w.queueDelay = stats.DecayingMean{Span: queueSpan, Few: fewResponses}
 			w.failureRates = slices.Repeat([]stats.DecayingMean{w.queueDelay}, len(p.classes))
