Show load commands that arrive when the requests that paid for them have left the window

A load command counts when it arrives. Two tests, listed; the question whether it may be sent is a method that always says yes so far.

--- a/internal/router/commands.go
+++ b/internal/router/commands.go
@@ -84,6 +84,9 @@
 	})
 }
 
+// MaySendLoad reports whether a load that waited for a connection may be sent now.
+func (c *Core) MaySendLoad(uint64) bool { return true }
+
 // HealthCheckCompleted tells the core how a health check ended, with the worker's load report in the order of
 // policy.Config.LoadReportFields. It ignores a health check that has ended already.
 func (c *Core) HealthCheckCompleted(commandID uint64, outcome policy.Outcome, report []float64) {
--- a/internal/workerclient/bench_test.go
+++ b/internal/workerclient/bench_test.go
@@ -28,6 +28,7 @@
 	}
 }
 func (*servedCounter) LoadCompleted(uint64, policy.Outcome, int)              {}
+func (*servedCounter) MaySendLoad(uint64) bool                                { return true }
 func (*servedCounter) HealthCheckCompleted(uint64, policy.Outcome, []float64) {}
 
 // BenchmarkRequest sends a request over a connection that is up and takes in its response.
--- a/internal/workerclient/example_test.go
+++ b/internal/workerclient/example_test.go
@@ -30,6 +30,8 @@
 func (printResults) LoadCompleted(tag uint64, _ policy.Outcome, replicas int) {
 	fmt.Printf("load %d: %d replicas\n", tag, replicas)
 }
+func (printResults) MaySendLoad(uint64) bool { return true }
+
 func (printResults) HealthCheckCompleted(tag uint64, _ policy.Outcome, report []float64) {
 	fmt.Printf("health check %d: %v\n", tag, report)
 }
--- a/internal/workerclient/golden_test.go
+++ b/internal/workerclient/golden_test.go
@@ -47,6 +47,8 @@
 	r.loads = append(r.loads, loadResult{tag, outcome, count})
 }
 
+func (r *decodedResults) MaySendLoad(uint64) bool { return true }
+
 func (r *decodedResults) HealthCheckCompleted(tag uint64, outcome policy.Outcome, report []float64) {
 	r.healthChecks = append(r.healthChecks, healthCheckResult{tag, outcome, report})
 }
--- a/internal/workerclient/model_test.go
+++ b/internal/workerclient/model_test.go
@@ -127,6 +127,7 @@
 	m.log("h%d=%d", tag, o)
 	m.core.LoadCompleted(tag, o, count)
 }
+func (m *model) MaySendLoad(tag uint64) bool { return m.core.MaySendLoad(tag) }
 func (m *model) HealthCheckCompleted(tag uint64, o policy.Outcome, report []float64) {
 	m.log("p%d=%d", tag, o)
 	m.core.HealthCheckCompleted(tag, o, report)
--- a/internal/workerclient/pool.go
+++ b/internal/workerclient/pool.go
@@ -18,6 +18,9 @@
 	AttemptCompleted(a router.Attempt, r router.AttemptResult)
 	LoadCompleted(tag uint64, o policy.Outcome, count int)
 	HealthCheckCompleted(tag uint64, o policy.Outcome, report []float64)
+	// MaySendLoad reports whether a load that has waited for a connection is still within the budget: it counts when it
+	// arrives at its worker.
+	MaySendLoad(tag uint64) bool
 }
 
 // Transport is a connection to a worker; an eventloop.Conn is one.
--- a/internal/workerclient/pool_test.go
+++ b/internal/workerclient/pool_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -26,6 +27,7 @@
 type resultRecorder struct {
 	outcomes        map[router.Attempt][]policy.Outcome
 	commandOutcomes map[uint64][]policy.Outcome
+	beyondBudget    bool // of loads that have waited
 	results         map[router.Attempt]router.AttemptResult
 }
 
@@ -36,12 +38,13 @@
 func (s *resultRecorder) LoadCompleted(tag uint64, o policy.Outcome, _ int) {
 	s.commandOutcomes[tag] = append(s.commandOutcomes[tag], o)
 }
+func (s *resultRecorder) MaySendLoad(uint64) bool { return !s.beyondBudget }
 func (s *resultRecorder) HealthCheckCompleted(tag uint64, o policy.Outcome, _ []float64) {
 	s.commandOutcomes[tag] = append(s.commandOutcomes[tag], o)
 }
 
 func newPool() (*Pool, *resultRecorder, *[]*fakeTransport) {
-	s := &resultRecorder{map[router.Attempt][]policy.Outcome{}, map[uint64][]policy.Outcome{}, map[router.Attempt]router.AttemptResult{}}
+	s := &resultRecorder{outcomes: map[router.Attempt][]policy.Outcome{}, commandOutcomes: map[uint64][]policy.Outcome{}, results: map[router.Attempt]router.AttemptResult{}}
 	var transports []*fakeTransport
 	p := New(Config{Classes: []string{"dim-level"}, ReportFields: []string{"inflight"}, DialTimeout: time.Second,
 		KeepAlive: 30 * time.Second, MaxCallsPerConnection: 2, MaxConnections: 100, CancelSupported: true, Dial: func(_, _ string, _ time.Duration, h eventloop.DialHandler) Transport {
@@ -515,3 +518,29 @@
 		}
 	}
 }
+
+// Guards the budget of load commands: one that waited for a dial is not sent where the requests that paid for it have left
+// the budget's window meanwhile. One that is sent at once has just been decided on.
+func TestLoadBeyondItsBudgetIsNotSentAfterTheDial(t *testing.T) {
+	for _, beyond := range []bool{true, false} {
+		p, s, transports := newPool()
+		s.beyondBudget = beyond
+		p.Load(1, 5, 1, 9)
+		p.Load(1, 5, 0, 10) // asks, and orders nothing
+		p.SetNow(time.Second)
+		transport := (*transports)[0]
+		transport.handler.DialCompleted(nil)
+		if sent := strings.Contains(transport.Written.String(), "count=1"); sent == beyond {
+			t.Errorf("beyond its budget %v, sent %v", beyond, sent)
+		}
+		if beyond != slices.Equal(s.commandOutcomes[9], []policy.Outcome{policy.Overloaded}) {
+			t.Errorf("beyond its budget %v, ended %v", beyond, s.commandOutcomes[9])
+		}
+		if !strings.Contains(transport.Written.String(), "count=0") {
+			t.Error("the question was not sent")
+		}
+		if p.Load(1, 6, 1, 11); !strings.Contains(transport.Written.String(), "h11") {
+			t.Error("a load that did not wait was not sent")
+		}
+	}
+}
--- a/policy/loads.go
+++ b/policy/loads.go
@@ -22,6 +22,9 @@
 	return p.cfg.LoadBudgetMinimum + p.cfg.LoadBudgetRatio*p.recentRequests()
 }
 
+// MayStillLoad reports whether an order that was decided on before may be sent at a time: it counts when it arrives.
+func (p *Policy) MayStillLoad(time.Duration) bool { return true }
+
 // orderLoad has the missing function of r loaded, with r to follow.
 func (p *Policy) orderLoad(r *request, replica *replica) bool {
 	if !replica.loadOrdered {
--- a/policy/loads_test.go
+++ b/policy/loads_test.go
@@ -121,3 +121,31 @@
 	b.serve(501, time.Second, StartedLoad) // one success opens the gate
 	b.serve(502, time.Second, StartedLoad)
 }
+
+// An order counts when it arrives: what was within the budget when it was decided on may no longer be, once the requests
+// that paid for it have left the window.
+func TestOrderThatWaitedIsHeldAgainstThePresentBudget(t *testing.T) {
+	cfg := config()
+	cfg.MissWhenNotLoaded, cfg.LoadOrdersSupported = true, true
+	cfg.LoadBudgetWindow, cfg.LoadBudgetMinimum, cfg.LoadBudgetRatio = 10*time.Second, 1, 0.3
+	b := newHarness(t, cfg, 5)
+	for f := range FunctionID(10) {
+		b.serve(f, ms, AlreadyLoaded)
+	}
+	b.advance(9 * time.Second)
+	orders := 0
+	for f := FunctionID(100); f < 105; f++ {
+		id, acts := b.arrive(0, f)
+		s, _ := first[StartAttempt](acts)
+		if has[Load](b.handle(AttemptCompleted{Request: id, Worker: s.Worker, Outcome: NotLoaded})) {
+			orders++
+		}
+	}
+	// 1 and 0.3 of 11 to 15 requests allow each of five orders as it is decided on; 0.3 of 5 would not.
+	if orders < 4 || !b.p.MayStillLoad(b.now) {
+		t.Fatalf("%d orders, of which the last may go out: %v", orders, b.p.MayStillLoad(b.now))
+	}
+	if b.p.MayStillLoad(b.now + 2*time.Second) {
+		t.Error("orders may go out when the requests that paid for them have left the window")
+	}
+}
--- a/policy/workers.go
+++ b/policy/workers.go
@@ -20,7 +20,7 @@
 	pendingLoads, consecutiveFailures     int
 	checking                              bool // a health check is in flight
 	lastCheck, lastResponse, ejectedUntil time.Duration
-	returnedAt                            time.Duration // when it responded after it was ejected; 0: it never did
+	returnedAt                            time.Duration // responded after an ejection; 0: it never did
 }
 
 func (p *Policy) endpointsListed(l EndpointList) {
