Hold a load command that waited for a connection against the budget of the moment

An order was checked when it was decided on and sent when its dial came up, by when the requests that paid for it may have left the window. One that waited is now asked about again (policy.MayStillLoad) and, where it would go beyond, ends as overloaded, as if its worker had no room; requests go on elsewhere. One that is sent at once is not.

--- a/internal/router/commands.go
+++ b/internal/router/commands.go
@@ -85,7 +85,10 @@
 }
 
 // MaySendLoad reports whether a load that waited for a connection may be sent now.
-func (c *Core) MaySendLoad(uint64) bool { return true }
+func (c *Core) MaySendLoad(commandID uint64) bool {
+	command := c.commands[commandID]
+	return command != nil && command.kind == loadCommand && c.policy.MayStillLoad(c.now)
+}
 
 // HealthCheckCompleted tells the core how a health check ended, with the worker's load report in the order of
 // policy.Config.LoadReportFields. It ignores a health check that has ended already.
--- a/internal/workerclient/command.go
+++ b/internal/workerclient/command.go
@@ -31,6 +31,7 @@
 	kind    commandKind
 	attempt router.Attempt // runCommand
 	tag     uint64         // loadCommand, healthCheckCommand: by which the result is told
+	count   int            // loadCommand: replicas to load; 0 only asks
 	id      string         // on the wire
 	header  []byte         // all of the command but the body; of a RUN from when it is written on
 	run     *runParameters // runCommand: what header is made of
@@ -39,6 +40,7 @@
 	sendBy  time.Duration  // runCommand: it is not written later
 
 	conn            *conn
+	waited          bool // for a connection
 	written         bool
 	sentAt          time.Duration
 	endOffset       int  // of its last byte in what was written to conn
--- a/internal/workerclient/conn.go
+++ b/internal/workerclient/conn.go
@@ -73,14 +73,15 @@
 		c.runsInFlight++
 	}
 	if !c.connected() {
+		cmd.waited = true
 		c.queued = append(c.queued, cmd)
 		return
 	}
 	c.writeCommand(cmd)
 }
 
-// writeCommand writes a command, unless the time is over in which it may be sent: nothing would be left of its budget, or
-// the worker might no longer know it for a repeat.
+// writeCommand writes a command, unless it may not be sent any more: nothing would be left of a request's budget, the worker
+// might no longer know it for a repeat, or the budget of loads has been used up.
 func (c *conn) writeCommand(cmd *command) {
 	if cmd.kind == runCommand {
 		if c.pool.now >= cmd.sendBy {
@@ -90,6 +91,11 @@
 		}
 		cmd.header = encodeRun(cmd.run, cmd.expires-c.pool.now)
 	}
+	if cmd.kind == loadCommand && cmd.count > 0 && cmd.waited && !c.pool.results.MaySendLoad(cmd.tag) {
+		c.remove(cmd)
+		c.pool.fail(cmd, policy.Overloaded)
+		return
+	}
 	cmd.written = true
 	cmd.sentAt = c.pool.now
 	c.lastUsed = c.pool.now
--- a/internal/workerclient/dispatch.go
+++ b/internal/workerclient/dispatch.go
@@ -71,7 +71,7 @@
 // Load orders a worker to load replicas of a function. A count of 0 only asks how many it has, for which the worker
 // need not be ready.
 func (p *Pool) Load(id policy.WorkerID, f policy.FunctionID, count int, tag uint64) {
-	cmd := &command{kind: loadCommand, tag: tag, id: loadID(tag)}
+	cmd := &command{kind: loadCommand, tag: tag, count: count, id: loadID(tag)}
 	cmd.header = encodeHold(cmd.id, f, count)
 	w := p.workers[id]
 	if count > 0 && w != nil && !w.ready() {
@@ -173,5 +173,6 @@
 // resend sends a command, whose connection ended, over another one.
 func (p *Pool) resend(w *worker, cmd *command) {
 	cmd.written = false
+	cmd.waited = true
 	p.send(w, cmd)
 }
--- a/policy/loads.go
+++ b/policy/loads.go
@@ -23,7 +23,14 @@
 }
 
 // MayStillLoad reports whether an order that was decided on before may be sent at a time: it counts when it arrives.
-func (p *Policy) MayStillLoad(time.Duration) bool { return true }
+func (p *Policy) MayStillLoad(now time.Duration) bool {
+	if p.cfg.LoadBudgetWindow <= 0 {
+		return true
+	}
+	orders := p.loadOrders.CountSince(now - p.cfg.LoadBudgetWindow)
+	requests := p.arrivals.CountSince(now - p.cfg.LoadBudgetWindow + 1)
+	return float64(orders) <= p.cfg.LoadBudgetMinimum+p.cfg.LoadBudgetRatio*float64(requests)
+}
 
 // orderLoad has the missing function of r loaded, with r to follow.
 func (p *Policy) orderLoad(r *request, replica *replica) bool {
