--- a/policy/loads.go
+++ b/policy/loads.go
@@ -22,7 +22,8 @@
 	return p.cfg.LoadBudgetMinimum + p.cfg.LoadBudgetRatio*p.recentRequests()
 }
 
-// MayStillLoad reports whether an order that was decided on before may be sent at a time: it counts when it arrives.
+// MayStillLoad reports whether an order that was decided on before may be sent at a time: it counts when it
+// arrives.
 func (p *Policy) MayStillLoad(now time.Duration) bool {
 	if p.cfg.LoadBudgetWindow <= 0 {
 		return true
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -7,8 +7,8 @@
 const (
 	slowStartMargin = 0.7 // part of the overload multiple that is used: chance needs the rest
 
-	// restartReportTime is after how long a router has read that a worker was started, as a rule: discovery has told it after
-	// 1.5 s, and is asked every 0.75 s, with a response or two lost.
+	// restartReportTime is after how long a router has read that a worker was started, as a rule: discovery
+	// has told it after 1.5 s, and is asked every 0.75 s, with a response or two lost.
 	restartReportTime = 3 * time.Second
 )
 
@@ -26,8 +26,8 @@
 	return c.SlowStartInitialCapacity + (1-c.SlowStartInitialCapacity)*age
 }
 
-// presumedStart is when w started, 0 for long ago. One that could not be reached, or was silent, may have been started anew
-// before it responded again: it is presumed to, until that would have been reported.
+// presumedStart is when w started, 0 for long ago. One that could not be reached, or was silent, may have
+// been started anew before it responded again: it is presumed to, until that would have been reported.
 func (p *Policy) presumedStart(w *worker) time.Duration {
 	if w.returnedAt > 0 && p.now-w.returnedAt < restartReportTime {
 		return max(w.Started, w.returnedAt)
