--- a/internal/eventloop/listen.go
+++ b/internal/eventloop/listen.go
@@ -26,6 +26,9 @@
 // acceptFunc returns the handler of an accepted connection.
 type acceptFunc = func(*Conn) AcceptedHandler
 
+// listenFunc opens a listener.
+type listenFunc = func(network, addr string) (net.Listener, error)
+
 // Listen has connections to addr handled by what accept returns. It is called before Start.
 func (l *Loop) Listen(addr string, accept func(*Conn) AcceptedHandler) { l.listeners[addr] = accept }
 
@@ -70,7 +73,7 @@
 		NPoller:            1,
 		MaxWriteBufferSize: maxUnwritten,
 		Listen: func(network, addr string) (net.Listener, error) {
-			listener, err := net.Listen(network, addr)
+			listener, err := l.listen(network, addr)
 			if err != nil {
 				return nil, &ListenError{Addr: addr, Err: err}
 			}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -66,6 +66,7 @@
 	registrations atomic.Int64
 
 	connect     connectFunc     // opens a socket; tests have it fail
+	listen      listenFunc      // opens a listener; the same
 	dialContext context.Context // ends with the loop
 	cancelDials context.CancelFunc
 	dials       sync.WaitGroup // goroutines of dials
@@ -91,6 +92,7 @@
 		listeners: map[string]acceptFunc{},
 		accepted:  map[*Conn]struct{}{},
 		connect:   connect,
+		listen:    net.Listen,
 
 		pollerBuffer:  make([]byte, readBuffer),
 		closingBuffer: make([]byte, readBuffer),
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -45,6 +45,13 @@
 func startWith(t *testing.T, cfg Config, accept func(*Conn) AcceptedHandler) *Loop {
 	t.Helper()
 	l := New(cfg)
+	runLoop(t, l, accept)
+	return l
+}
+
+// runLoop runs a loop that listens on a free port until the test ends.
+func runLoop(t *testing.T, l *Loop, accept func(*Conn) AcceptedHandler) {
+	t.Helper()
 	l.Listen("127.0.0.1:0", accept)
 	if err := l.Start(); err != nil {
 		t.Fatal(err)
@@ -59,7 +66,6 @@
 		l.Post(l.Stop)
 		<-done
 	})
-	return l
 }
 
 // Guards against a listener on all addresses whose connections, each with an address of its own, are
--- a/internal/workerclient/pool.go
+++ b/internal/workerclient/pool.go
@@ -43,6 +43,7 @@
 	MaxCallsPerConnection int           // requests in flight on one connection
 	MaxConnections        int           // to all workers together
 	CancelSupported       bool          // workers may be told that a request is cancelled
+	ProbesAllowed         bool          // NOOP and INFO may be sent
 	Seed                  uint64        // spreads the backoff of addresses that failed
 	Dial                  func(network, addr string, timeout time.Duration, h eventloop.DialHandler) Transport
 }
--- a/internal/workerclient/pool_test.go
+++ b/internal/workerclient/pool_test.go
@@ -47,7 +47,7 @@
 	s := &resultRecorder{outcomes: map[router.Attempt][]policy.Outcome{}, commandOutcomes: map[uint64][]policy.Outcome{}, results: map[router.Attempt]router.AttemptResult{}}
 	var transports []*fakeTransport
 	p := New(Config{Classes: []string{"dim-level"}, ReportFields: []string{"inflight"}, DialTimeout: time.Second,
-		KeepAlive: 30 * time.Second, MaxCallsPerConnection: 2, MaxConnections: 100, CancelSupported: true, Dial: func(_, _ string, _ time.Duration, h eventloop.DialHandler) Transport {
+		KeepAlive: 30 * time.Second, MaxCallsPerConnection: 2, MaxConnections: 100, CancelSupported: true, ProbesAllowed: true, Dial: func(_, _ string, _ time.Duration, h eventloop.DialHandler) Transport {
 			transports = append(transports, &fakeTransport{handler: h})
 			return transports[len(transports)-1]
 		}}, s)
@@ -544,3 +544,52 @@
 		}
 	}
 }
+
+// Where the settings allow no probes, none is sent on a connection that is silent. It takes nothing new all the same.
+func TestNoProbeIsSentWhereNoneIsAllowed(t *testing.T) {
+	p, _, transports := newPool()
+	p.cfg.ProbesAllowed = false
+	p.StartAttempt(1, router.Attempt{Request: 1}, newRequest("0123456789abcdef"), time.Minute)
+	silent := (*transports)[0]
+	silent.handler.DialCompleted(nil)
+	for at := time.Duration(0); at < 5*time.Second; at += MaintenanceInterval {
+		p.Maintain(at)
+	}
+	p.StartAttempt(1, router.Attempt{Request: 2}, newRequest("0123456789abcdee"), time.Minute)
+	if len(*transports) < 2 || strings.Contains(silent.Written.String(), "0123456789abcdee") {
+		t.Error("a silent connection takes a further request")
+	}
+	if strings.Contains(silent.Written.String(), "NOOP") {
+		t.Errorf("it was probed: %q", silent.Written.String())
+	}
+	silent.handler.Data(encodeResponse("0123456789abcdef", "HIT", ""))
+	p.StartAttempt(1, router.Attempt{Request: 3}, newRequest("0123456789abcded"), time.Minute)
+	if !strings.Contains(silent.Written.String(), "0123456789abcded") {
+		t.Error("a connection that has responded takes nothing")
+	}
+}
+
+// An address that failed counts again once it connects, where no probe may ask it for a sign of life.
+func TestAddressCountsAgainWithoutAProbe(t *testing.T) {
+	p, _, transports, _ := newPoolWithTwoAddresses()
+	p.cfg.ProbesAllowed = false
+	p.StartAttempt(7, attempt, newRequest(requestID), time.Minute)
+	(*transports)[0].handler.DialCompleted(errors.New("refused"))
+	(*transports)[1].handler.DialCompleted(nil)
+	for at := time.Duration(0); at < 20*time.Second; at += MaintenanceInterval {
+		p.Maintain(at)
+		for _, transport := range (*transports)[2:] {
+			if !transport.Closed {
+				transport.handler.DialCompleted(nil)
+			}
+		}
+	}
+	if p.Counters.RecoveryDials == 0 || p.workers[7].addresses.Unavailable() > 0 {
+		t.Errorf("%d recovery dials, %d addresses are down", p.Counters.RecoveryDials, p.workers[7].addresses.Unavailable())
+	}
+	for i, transport := range *transports {
+		if strings.Contains(transport.Written.String(), "NOOP") {
+			t.Errorf("connection %d was probed: %q", i, transport.Written.String())
+		}
+	}
+}
