Send no probe where the settings allow none

The keepalive ping of a silent connection and the NOOP of a recovery dial went out whatever mayProbe said. Without probes a silent connection takes nothing new until it responds, and an address that failed counts once it connects.

--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -80,6 +80,7 @@
 		MaxCallsPerConnection: limits.StreamsPerConn,
 		MaxConnections:        cfg.MaxWorkerConnections(),
 		CancelSupported:       cfg.Policy.CancelSupported,
+		ProbesAllowed:         cfg.Policy.HealthCheckSupported,
 		Seed:                  cfg.SeedValue,
 		Dial: func(network, addr string, timeout time.Duration, handler eventloop.DialHandler) workerclient.Transport {
 			return loop.Dial(network, addr, timeout, handler)
--- a/internal/workerclient/liveness.go
+++ b/internal/workerclient/liveness.go
@@ -32,12 +32,15 @@
 	}
 }
 
-// ping sends a keepalive ping.
+// ping sends a keepalive ping. Where the settings allow no probes the connection just takes nothing new until it responds.
 func (c *conn) ping() {
 	p := c.pool
 	c.pingedAt = p.now
-	p.Counters.Pings++
 	c.worker.addresses.Suspect(p.now, c.addr)
+	if !p.cfg.ProbesAllowed {
+		return
+	}
+	p.Counters.Pings++
 	p.pingSequence++
 	cmd := &command{kind: pingCommand, id: pingID(p.pingSequence)}
 	cmd.header = encodeNoop(cmd.id)
--- a/internal/workerclient/recovery.go
+++ b/internal/workerclient/recovery.go
@@ -80,7 +80,8 @@
 	r.close()
 }
 
-// DialCompleted asks for a sign of life: an address that accepts and says nothing does not work.
+// DialCompleted asks for a sign of life: an address that accepts and says nothing does not work. Where the settings allow
+// no probes, one that accepts counts.
 func (r *recoveryDial) DialCompleted(err error) {
 	switch {
 	case r.finished:
@@ -89,6 +90,8 @@
 		}
 	case err != nil:
 		r.finish(err)
+	case !r.pool.cfg.ProbesAllowed:
+		r.finish(nil)
 	default:
 		r.transport.Write(encodeNoop(recoveryPingID))
 	}
