--- a/policy/doc.go
+++ b/policy/doc.go
@@ -45,7 +45,8 @@
 // All routers together must stay under the overload multiple of a worker that warms up. Each gives it a token bucket of
 // work, which refills by the share of its capacity that is there now, at the rate at which warm workers are seen to take
 // work. The bucket begins with a debt of a random part of a request, so that the routers take turns, and its tokens
-// expire: saved up in thin traffic, those of all routers would meet. Capacity is the size in the endpoint list to a power
+// expire: saved up in thin traffic, those of all routers would meet. A worker that responds after an ejection may be
+// another process; it counts as just started until a start would have been reported. Capacity is the size in the endpoint list to a power
 // from 1 to 3, which is learned from the runs at large and small workers.
 //
 // # Load shedding
