--- a/policy/estimation.go
+++ b/policy/estimation.go
@@ -1,8 +1,11 @@
 package policy
 
-import "math"
-import "time"
-import "crankhold/internal/stats"
+import (
+	"math"
+	"time"
+
+	"crankhold/internal/stats"
+)
 
 const (
 	rateSpan            = 10 * time.Second // memory of the rate at which we are served
--- a/policy/health.go
+++ b/policy/health.go
@@ -1,7 +1,9 @@
 package policy
 
-import "slices"
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 const baseEjection = time.Second // for a first failure; doubled by each of the next three
 
--- a/policy/housekeeping.go
+++ b/policy/housekeeping.go
@@ -1,9 +1,11 @@
 package policy
 
-import "encoding/binary"
-import "maps"
-import "slices"
-import "time"
+import (
+	"encoding/binary"
+	"maps"
+	"slices"
+	"time"
+)
 
 const (
 	housekeepingInterval = 50 * time.Millisecond // well below any latency objective, cheap enough
--- a/policy/loads.go
+++ b/policy/loads.go
@@ -1,7 +1,9 @@
 package policy
 
-import "slices"
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 type replica struct {
 	worker                  *worker
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,10 +1,13 @@
 package policy
 
-import "math"
-import "math/rand/v2"
-import "slices"
-import "time"
-import "crankhold/internal/stats"
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"crankhold/internal/stats"
+)
 
 const (
 	housekeepingToken = 0
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -1,10 +1,13 @@
 package policy
 
-import "cmp"
-import "math"
-import "slices"
-import "time"
-import "crankhold/internal/stats"
+import (
+	"cmp"
+	"math"
+	"slices"
+	"time"
+
+	"crankhold/internal/stats"
+)
 
 type request struct {
 	RequestArrived
--- a/policy/retries.go
+++ b/policy/retries.go
@@ -1,7 +1,9 @@
 package policy
 
-import "slices"
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // mayStart reports whether r may go anywhere now: beside a first attempt only its hedged request.
 func (p *Policy) mayStart(r *request) bool {
--- a/policy/scheduling.go
+++ b/policy/scheduling.go
@@ -1,8 +1,10 @@
 package policy
 
-import "math"
-import "slices"
-import "time"
+import (
+	"math"
+	"slices"
+	"time"
+)
 
 const trialInterval = time.Second // between requests that are sent against an estimate
 const likelyChance = 0.5          // is counted on where a wrong guess costs little
--- a/policy/shedding.go
+++ b/policy/shedding.go
@@ -2,6 +2,17 @@
 
 import "cmp"
 
+// Load shedding begins where a standing delay takes so much of the latency objective.
+const (
+	shedStart         = 0.5  // as a rule
+	shedStartLessPaid = 0.25 // of classes that are worth less than another
+	shedStartLate     = 0.15 // of requests that come late even if all goes as expected, and of those beyond a quota
+
+	shedSlope = 2   // requests shed, as a part, for each further part of the objective
+	shedMost  = 0.9 // part of the requests that is shed at most
+	moreWorth = 1.5 // by how much another class has to be worth more for that
+)
+
 func (p *Policy) overQuota(tenant int) bool {
 	if tenant < 0 || tenant >= len(p.quotas) {
 		return len(p.quotas) > 0
@@ -13,20 +24,22 @@
 // shed rejects a growing part of what never ran under a standing delay; wait is until the queue lets r in.
 func (p *Policy) shed(r *request, w *worker, expected float64) (shed bool, wait float64) {
 	own := float64(min(r.class.LatencyObjective, cmp.Or(r.Policy.LatencyObjective, r.class.LatencyObjective)))
-	start, objective := 0.5, own
+	start, objective := shedStart, own
 	for i := range p.classes {
-		if c := &p.classes[i]; p.valuePerWork(c) > 1.5*p.valuePerWork(r.class) {
-			start, objective = 0.25, min(objective, float64(c.LatencyObjective))
+		c := &p.classes[i]
+		if p.valuePerWork(c) > moreWorth*p.valuePerWork(r.class) {
+			start = shedStartLessPaid
+			objective = min(objective, float64(c.LatencyObjective))
 		}
 	}
 	if r.overQuota {
-		start = 0.15 * p.cfg.OverQuotaWeight
+		start = shedStartLate * p.cfg.OverQuotaWeight
 	} else if expected > own {
-		start = 0.15
+		start = shedStartLate
 	}
 	others := (1 - 1/float64(p.cfg.Routers)) * w.queueDelay.Mean(p.now) // what they queue at the best worker
 	delay := max(p.standingDelay.Mean, others)
-	shed = p.rng.Float64() < min(2*(delay/objective-start), 0.9) && r.possibleRun == nil
+	shed = p.rng.Float64() < min(shedSlope*(delay/objective-start), shedMost) && r.possibleRun == nil
 	return shed, delay - start*objective
 }
 
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -1,12 +1,17 @@
 package policy
 
-import "math"
-import "time"
-import "crankhold/internal/stats"
+import (
+	"math"
+	"time"
+
+	"crankhold/internal/stats"
+)
 
 const (
 	slowStartMargin = 0.7 // part of the overload multiple that is used: chance needs the rest
 
+	tokenLifetime = 3 // windows of the rule after which an unused token expires
+
 	// restartReportTime is after how long a router has read that a worker was started, as a rule: discovery
 	// has told it after 1.5 s, and is asked every 0.75 s, with a response or two lost.
 	restartReportTime = 3 * time.Second
@@ -42,12 +47,14 @@
 
 // updateCapacities estimates what workers can do if warm: their size, to a power learned from the runs.
 func (p *Policy) updateCapacities() {
-	power, work, capacity := 1+stats.Clamp(p.sizeEffect.SumY/(p.sizeEffect.SumX+sizePrior), 0, 2), 0.0, 0.0
+	power := 1 + stats.Clamp(p.sizeEffect.SumY/(p.sizeEffect.SumX+sizePrior), 0, 2)
+	work, capacity := 0.0, 0.0
 	for _, w := range p.fleet {
 		w.capacity = math.Pow(w.size, power)
 		w.hashWeight = math.Pow(w.capacity, 1-1/float64(p.cfg.Routers))
 		if w.State == Ready && p.warmth(w) >= 1 {
-			work, capacity = work+w.servedWork, capacity+w.capacity
+			work += w.servedWork
+			capacity += w.capacity
 		}
 	}
 	if capacity > 0 && p.servedSpan > 0 {
@@ -58,9 +65,11 @@
 // refillSlowStart adds an interval's work. Tokens expire: saved up, those of all routers would meet.
 func (p *Policy) refillSlowStart(w *worker) {
 	rate := slowStartMargin * p.cfg.OverloadMultiple * p.warmth(w) * p.warmRate * w.capacity
-	span, run := rate*p.cfg.OverloadWindow.Seconds(), p.classes[0].run.Mean
+	span := rate * p.cfg.OverloadWindow.Seconds()
+	run := p.classes[0].run.Mean
 	w.slowStart.Capacity = max(span/4, run)
-	if w.slowStart.Add(rate * housekeepingInterval.Seconds()); w.slowStart.Tokens > 3*span {
+	w.slowStart.Add(rate * housekeepingInterval.Seconds())
+	if w.slowStart.Tokens > tokenLifetime*span {
 		w.slowStart.Tokens -= run
 	}
 }
--- a/policy/workers.go
+++ b/policy/workers.go
@@ -1,9 +1,12 @@
 package policy
 
-import "cmp"
-import "slices"
-import "time"
-import "crankhold/internal/stats"
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"crankhold/internal/stats"
+)
 
 type worker struct {
 	Endpoint
@@ -43,7 +46,9 @@
 			for _, replica := range w.replicas {
 				replica.unloaded()
 			}
-			w.consecutiveFailures, w.ejectedUntil, w.servedWork = 0, 0, 0
+			w.consecutiveFailures = 0
+			w.ejectedUntil = 0
+			w.servedWork = 0
 			w.returnedAt = 0
 			p.resetSlowStart(w)
 			w.queueSlope = stats.Regression{}
