--- a/policy/shedding.go
+++ b/policy/shedding.go
@@ -6,7 +6,7 @@
 const (
 	shedStart         = 0.5  // as a rule
 	shedStartLessPaid = 0.25 // of classes that are worth less than another
-	shedStartLate     = 0.15 // of requests that come late even if all goes as expected, and of those beyond a quota
+	shedStartLate     = 0.15 // of requests that come late even if all goes well, and of those beyond a quota
 
 	shedSlope = 2   // requests shed, as a part, for each further part of the objective
 	shedMost  = 0.9 // part of the requests that is shed at most
