--- a/internal/eventloop/arrival_test.go
+++ b/internal/eventloop/arrival_test.go
@@ -36,26 +36,12 @@
 
 // Data that a peer wrote before it closed is read to its end, also where it is more than the poller reads in one go.
 func TestAllOfALongResponseIsReadBeforeAnEnd(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
 	l := startWith(t, Config{MaxAccepted: 4, MaxDescriptors: 256, MaxQueuedBytes: 1, MaxUnreadBytes: 32 << 20},
 		func(c *Conn) AcceptedHandler { return &echo{c: c, ends: make(chan error, 1)} })
 	r := &reader{dialled: dialled{make(chan error, 1), make(chan error, 1)}}
-	made := make(chan *Conn, 1)
-	l.Post(func() { made <- l.Dial("tcp", ln.Addr().String(), time.Second, r) })
-	peer, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer peer.Close()
+	c, peer := dialPeer(t, l, "tcp", "127.0.0.1:0", r, r.opened)
 	peer.(*net.TCPConn).SetWriteBuffer(4 << 20)
-	if err := <-r.opened; err != nil {
-		t.Fatal(err)
-	}
-	(<-made).socket.SetReadBuffer(4 << 20)
+	c.socket.SetReadBuffer(4 << 20)
 	release := hold(l)
 	client := dial(t, l)
 	for range 3 { // the poller waits with the third byte
--- a/internal/eventloop/crossings_test.go
+++ b/internal/eventloop/crossings_test.go
@@ -23,26 +23,13 @@
 // Guards responses that a worker wrote just before it closed: while the poller is held up they and the end come together,
 // and nbio forgets what it has not read of a connection once it has heard of its end.
 func TestAllThatCameBeforeAnEndIsRead(t *testing.T) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
 	// The poller waits behind a byte.
 	l := startWith(t, Config{MaxAccepted: 4, MaxDescriptors: 256, MaxQueuedBytes: 1, MaxUnreadBytes: 32 << 20},
 		func(c *Conn) AcceptedHandler { return &echo{c: c, ends: make(chan error, 1)} })
 	r := &reader{dialled: dialled{make(chan error, 1), make(chan error, 1)}}
-	made := make(chan *Conn, 1)
-	l.Post(func() { made <- l.Dial("tcp", ln.Addr().String(), time.Second, r) })
-	peer, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
+	c, peer := dialPeer(t, l, "tcp", "127.0.0.1:0", r, r.opened)
 	peer.(*net.TCPConn).SetWriteBuffer(1 << 20)
-	if err := <-r.opened; err != nil {
-		t.Fatal(err)
-	}
-	held, release, c := make(chan bool), make(chan bool), <-made
+	held, release := make(chan bool), make(chan bool)
 	l.Post(func() {
 		c.socket.SetReadBuffer(1 << 20) // as large as the kernel lets a busy connection's grow
 		close(held)
--- a/internal/eventloop/loop_test.go
+++ b/internal/eventloop/loop_test.go
@@ -101,6 +101,27 @@
 	return c
 }
 
+// dialPeer opens a connection of a loop to a listener of the test's, and returns both ends.
+func dialPeer(t *testing.T, l *Loop, network, addr string, h DialHandler, opened <-chan error) (c *Conn, peer net.Conn) {
+	t.Helper()
+	ln, err := net.Listen(network, addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	made := make(chan *Conn, 1)
+	l.Post(func() { made <- l.Dial(network, ln.Addr().String(), time.Second, h) })
+	peer, err = ln.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { peer.Close() })
+	if err := <-opened; err != nil {
+		t.Fatal(err)
+	}
+	return <-made, peer
+}
+
 // Guards against nbio's Writev, which drops the buffers behind a short write: a reader that starts
 // late, so that the socket fills, still gets every byte in order.
 func TestNothingIsLostInShortWrites(t *testing.T) {
@@ -284,23 +305,9 @@
 // did not take; of a short message that was handed on, nothing.
 func TestUnsentIsWhatNeverLeft(t *testing.T) {
 	for _, size := range []int{100, 6 << 20} {
-		ln, err := net.Listen("tcp", "127.0.0.1:0")
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer ln.Close()
 		l := start(t, 10, func(c *Conn) AcceptedHandler { return &echo{c: c, ends: make(chan error, 1)} })
 		d := &dialled{make(chan error, 1), make(chan error, 1)}
-		made := make(chan *Conn, 1)
-		l.Post(func() { made <- l.Dial("tcp", ln.Addr().String(), time.Second, d) })
-		c := <-made
-		peer, err := ln.Accept()
-		if err != nil {
-			t.Fatal(err)
-		}
-		if err := <-d.opened; err != nil {
-			t.Fatal(err)
-		}
+		c, peer := dialPeer(t, l, "tcp", "127.0.0.1:0", d, d.opened)
 		wrote := make(chan bool)
 		l.Post(func() {
 			for rest := size; rest > 0; rest -= min(rest, 64<<10) {
@@ -311,10 +318,11 @@
 		<-wrote
 		got := 0
 		if size < 1000 {
-			b := make([]byte, size)
-			if got, err = io.ReadFull(peer, b); err != nil {
+			read, err := io.ReadFull(peer, make([]byte, size))
+			if err != nil {
 				t.Fatal(err)
 			}
+			got = read
 		}
 		peer.(*net.TCPConn).SetLinger(0)
 		peer.Close()
--- a/internal/eventloop/unix_test.go
+++ b/internal/eventloop/unix_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"io"
-	"net"
 	"path/filepath"
 	"testing"
 	"time"
@@ -12,25 +11,9 @@
 // All that is written over a Unix socket arrives, also where the peer takes it slowly: nbio drops what a write to one leaves
 // over.
 func TestNothingIsLostOverASlowUnixSocket(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "worker.sock")
-	ln, err := net.Listen("unix", path)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer ln.Close()
 	l := start(t, 10, func(c *Conn) AcceptedHandler { return &echo{c: c, ends: make(chan error, 1)} })
 	d := &dialled{make(chan error, 1), make(chan error, 1)}
-	made := make(chan *Conn, 1)
-	l.Post(func() { made <- l.Dial("unix", path, time.Second, d) })
-	c := <-made
-	peer, err := ln.Accept()
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer peer.Close()
-	if err := <-d.opened; err != nil {
-		t.Fatal(err)
-	}
+	c, peer := dialPeer(t, l, "unix", filepath.Join(t.TempDir(), "worker.sock"), d, d.opened)
 	const writes = 30
 	body := bytes.Repeat([]byte("0123456789abcdef"), 1<<10)
 	wrote := make(chan bool)
--- a/internal/server/keyed_window_test.go
+++ b/internal/server/keyed_window_test.go
@@ -48,24 +48,11 @@
 // acceptAfter accepts connections from a time on and calls run for each RUN command that arrives on one.
 func (l fullListener) acceptAfter(wait time.Duration, run func(words []string)) {
 	time.Sleep(wait)
-	for {
-		conn, err := l.Accept()
-		if err != nil {
-			return
+	serveCommands(l, func(_ net.Conn, words []string) {
+		if len(words) == 4 && words[0] == "RUN" {
+			run(words)
 		}
-		go func() {
-			defer conn.Close()
-			for in := bufio.NewReader(conn); ; {
-				words, err := readWords(in)
-				if err != nil {
-					return
-				}
-				if len(words) == 4 && words[0] == "RUN" {
-					run(words)
-				}
-			}
-		}()
-	}
+	})
 }
 
 // A request of a class whose workers drop repeats for a time may be sent again only within that time. An attempt that
--- a/internal/server/serve_test.go
+++ b/internal/server/serve_test.go
@@ -29,31 +29,36 @@
 	}
 	t.Cleanup(func() { ln.Close() })
 	runs = make(chan string, 100)
-	go func() {
-		for {
-			c, err := ln.Accept()
-			if err != nil {
-				return
-			}
-			go func() {
-				defer c.Close()
-				for in := bufio.NewReader(c); ; {
-					words, err := readWords(in)
-					if err != nil {
-						return
-					}
-					if len(words) == 4 && words[0] == "RUN" {
-						runs <- words[3]
-						body := "done " + words[3]
-						fmt.Fprintf(c, "*4\r\n$%d\r\n%s\r\n$3\r\nHIT\r\n$10\r\ndetail=hot\r\n$%d\r\n%s\r\n", len(words[1]), words[1], len(body), body)
-					}
-				}
-			}()
+	go serveCommands(ln, func(c net.Conn, words []string) {
+		if len(words) == 4 && words[0] == "RUN" {
+			runs <- words[3]
+			body := "done " + words[3]
+			fmt.Fprintf(c, "*4\r\n$%d\r\n%s\r\n$3\r\nHIT\r\n$10\r\ndetail=hot\r\n$%d\r\n%s\r\n", len(words[1]), words[1], len(body), body)
 		}
-	}()
+	})
 	return ln.Addr().String(), runs
 }
 
+// serveCommands accepts connections until the listener is closed, and has handle take each command that arrives.
+func serveCommands(listener net.Listener, handle func(c net.Conn, words []string)) {
+	for {
+		c, err := listener.Accept()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			for in := bufio.NewReader(c); ; {
+				words, err := readWords(in)
+				if err != nil {
+					return
+				}
+				handle(c, words)
+			}
+		}()
+	}
+}
+
 // readWords reads a RESP array of bulk strings.
 func readWords(in *bufio.Reader) (words []string, err error) {
 	line, err := in.ReadString('\n')
