Hold requests of clients that leave during a load to their terms, on the code as it is

A request whose client closes or interrupts while its function is being loaded is not sent, with and without cancels.

--- a/internal/server/client_gone_test.go
+++ b/internal/server/client_gone_test.go
@@ -1,9 +1,11 @@
 package server
 
 import (
+	"fmt"
 	"slices"
 	"sync"
 	"testing"
+	"time"
 
 	"crankhold/internal/fake"
 )
@@ -69,3 +71,44 @@
 		})
 	}
 }
+
+// A request whose client has gone while its function was being loaded is not sent when the load ends, whether or not
+// workers may be told of ends. The request of a client that stays is.
+func TestRequestOfAGoneClientIsNotSentAfterTheLoad(t *testing.T) {
+	for _, cancel := range []bool{true, false} {
+		for name, goes := range map[string]func(k *fake.Client){"closes": (*fake.Client).Close, "interrupts": func(k *fake.Client) { k.Interrupt(1) }} {
+			t.Run(fmt.Sprint(name, ", cancellation allowed ", cancel), func(t *testing.T) {
+				var mu sync.Mutex
+				var ran []string
+				ordered := make(chan struct{}, 10)
+				site, _, document := siteFor(t, 1, func(e fake.Event) {
+					mu.Lock()
+					defer mu.Unlock()
+					switch e.What {
+					case fake.EventStarted:
+						ran = append(ran, e.ID)
+					case fake.EventLoadOrdered:
+						ordered <- struct{}{}
+					}
+				})
+				site.Workers[0].Warm = false
+				site.Workers[0].LoadTime = 300 * time.Millisecond
+				document["settings"].(map[string]any)["limits"].(map[string]any)["cancel"] = cancel
+				server := startServer(t, document, Options{})
+				leaves, stays := server.dial(), server.dial()
+				gone, kept := callOf(1), callOf(2)
+				leaves.Go(gone, func(fake.Answer, error) {})
+				<-ordered
+				goes(leaves)
+				if answer, err := stays.Do(kept); err != nil || answer.Verdict != fake.Served {
+					t.Errorf("the request of the client that stays: %+v, %v", answer, err)
+				}
+				mu.Lock()
+				defer mu.Unlock()
+				if !slices.Equal(ran, []string{kept.ID}) {
+					t.Errorf("ran %v, of which only %s was wanted", ran, kept.ID)
+				}
+			})
+		}
+	}
+}
