Show a rename of the ledger that counts though its folder was not synced

Found on a last read: where recovery has to compact the ledger for room, the compaction may fail behind its rename, and the next try no longer knows that the folder is yet to be synced.

--- a/internal/webhook/faulty_disk_test.go
+++ b/internal/webhook/faulty_disk_test.go
@@ -186,3 +186,53 @@
 	}
 	t.Fatal("the ledger did not recover")
 }
+
+// unsyncedDisk is a disk on which a rename is made and its folder can't be synced, so often.
+type unsyncedDisk struct {
+	systemDisk
+	mu    sync.Mutex
+	fails int
+	asked int
+}
+
+func (d *unsyncedDisk) SyncDir(dir string) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.asked++
+	if d.fails > 0 {
+		d.fails--
+		return syscall.EIO
+	}
+	return d.systemDisk.SyncDir(dir)
+}
+
+// A rename whose folder can't be synced is made again before the ledger takes an order, also where it was made to find room
+// for what is owed.
+func TestRenameThatIsNotSyncedIsMadeAgain(t *testing.T) {
+	disk := &unsyncedDisk{}
+	config := testLedger(filepath.Join(t.TempDir(), "ledger"))
+	l, _, err := openLedger(config, noon, disk)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.close()
+	owed := ledgerEntry{ID: "owed", EventTime: noon, State: stateEnded}
+	old := encodeEntry(ledgerEntry{ID: "an earlier order", EventTime: noon, State: stateFreed})
+	l.mu.Lock() // the writer waits for jobs, so its file may be filled here
+	l.file.Write(old)
+	l.size += int64(len(old))
+	l.maxBytes = l.size
+	l.unwritten = []ledgerEntry{owed}
+	disk.fails = 1
+	before := disk.asked
+	l.mu.Unlock()
+	if err := l.writeOwed(); err == nil {
+		t.Fatal("a rename that is not synced counts")
+	}
+	if err := l.mend(); err != nil {
+		t.Fatal(err)
+	}
+	if disk.asked-before != 2 {
+		t.Errorf("the folder was synced %d times", disk.asked-before)
+	}
+}
