Make a rename of the ledger again wherever its folder could not be synced

Recovery compacts the file in two places; only one kept in mind that a failure may lie behind the rename. Both go through one function now.

--- a/internal/webhook/ledger_recovery.go
+++ b/internal/webhook/ledger_recovery.go
@@ -78,14 +78,22 @@
 // mend makes the file whole, with what is owed to it on the disk.
 func (l *ledger) mend() error {
 	if l.failure.state == contentUnknown || l.file == nil || l.cutTorn() != nil {
-		if err := l.compact(); err != nil {
-			l.failure.state = contentUnknown
+		if err := l.rewrite(); err != nil {
 			return err
 		}
 	}
 	return l.writeOwed()
 }
 
+// rewrite compacts the file. Where that fails, a rename may have been made that is not on the disk, so it is made again.
+func (l *ledger) rewrite() error {
+	err := l.compact()
+	if err != nil {
+		l.failure.state = contentUnknown
+	}
+	return err
+}
+
 // cutTorn cuts off what follows the good part of the file.
 func (l *ledger) cutTorn() error { return l.file.Truncate(l.size) }
 
@@ -96,7 +104,7 @@
 		lines = append(lines, encodeEntry(entry)...)
 	}
 	if l.size+int64(len(lines)) > l.maxBytes {
-		if err := l.compact(); err != nil {
+		if err := l.rewrite(); err != nil {
 			return err
 		}
 		if l.size+int64(len(lines)) > l.maxBytes {
