--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -13,8 +13,8 @@
 )
 
 const (
-	// announceDelay is the time after an event at which it counts as announced, whether a router has heard of it or not.
-	announceDelay = 1500 * time.Millisecond
+	// AnnounceDelay is the time after an event at which it counts as announced, whether a router has heard of it or not.
+	AnnounceDelay = 1500 * time.Millisecond
 
 	// pollsPerEvent is how many polls fall between an event and the time at which nothing new may be sent to its worker.
 	pollsPerEvent = 3
@@ -98,7 +98,7 @@
 		dial:         dial,
 		changed:      changed,
 		workers:      map[string]Worker{},
-		pollInterval: max((announceDelay+grace)/pollsPerEvent-roundTripAllowance, initialBackoff),
+		pollInterval: max((AnnounceDelay+grace)/pollsPerEvent-roundTripAllowance, initialBackoff),
 		random:       rand.New(rand.NewPCG(seed, jitterSeed)),
 	}
 }
--- a/internal/server/start_times.go
+++ b/internal/server/start_times.go
@@ -10,9 +10,6 @@
 	// maxListAge is how old what discovery tells may be on its worst days: it runs seconds behind for half a minute.
 	maxListAge = 45 * time.Second
 
-	// announceDelay is the time after an event at which discovery has told it, as a rule.
-	announceDelay = 1500 * time.Millisecond
-
 	// maxClockDrift is by how much the wall clock may move against the monotonic one before it counts as stepped.
 	maxClockDrift = 500 * time.Millisecond
 )
@@ -74,7 +71,7 @@
 	drift := (wall.Sub(s.first.wall) - (now - s.first.monotonic)).Abs()
 	implausible := at > now || lastList > 0 && at < lastList-maxListAge
 	if lastList > 0 && (drift > maxClockDrift || implausible) {
-		at = max(at, lastList-announceDelay)
+		at = max(at, lastList-discovery.AnnounceDelay)
 	}
 	return min(at, now)
 }
