Read the byte of the signal that shows Loop.Close that the poller runs

Cause: pollerSignal.received left the byte in its socket. nbio polls level-triggered, so it called the poller again at once until the main goroutine closed the socket, which has to get a processor first.

Evidence: a stack by SIGQUIT has the main goroutine runnable in awaitRunning while the poller goes round EpollWait.

--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -25,6 +25,8 @@
 	queue          *queue
 	buffer         []byte // what is read into; owned by the polling goroutine
 
+	calls atomic.Uint64 // of readable, by the polling goroutine
+
 	// registrations counts connections that were handed to the polling goroutine. nbio hands them over by way of the
 	// kernel. That orders memory, but the race detector does not know it; it knows this counter.
 	registrations atomic.Int64
@@ -79,12 +81,13 @@
 
 // readable is called by nbio when a connection has something to read. It blocks while the queue is full.
 func (p *poller) readable(socket *nbio.Conn) {
+	p.calls.Add(1)
 	p.registrations.Load()
 	switch session := socket.Session().(type) {
 	case *Conn:
 		session.reader.readAvailable(socket, p.buffer)
 	case *pollerSignal:
-		session.received()
+		session.received(socket, p.buffer)
 	}
 }
 
@@ -110,8 +113,12 @@
 	running chan struct{} // closed when data has arrived
 }
 
-// received is called by the polling goroutine.
-func (s *pollerSignal) received() { s.once.Do(func() { close(s.running) }) }
+// received is called by the polling goroutine. It reads what has arrived: the poll is level-triggered, and what is left
+// unread has the poller called again at once.
+func (s *pollerSignal) received(socket *nbio.Conn, buffer []byte) {
+	_, _ = socket.Read(buffer) // after an error the poller comes again or ends the connection
+	s.once.Do(func() { close(s.running) })
+}
 
 // awaitRunning returns once the polling goroutine runs, or when ctx is done. nbio ends that goroutine by a flag, which
 // the goroutine clears when it starts: one that starts late would poll forever. When the sockets for the check can't be
