Hand a connection to the poller only once it holds no event of the descriptor's last one

Callers saw connections end that neither side had closed: a delivery's 0.1 ms after it was accepted (TestOrdersRunOnceDespiteReplayAndRestart, 4 of 100 runs on here). Clients, workers and notices share the cause.

Cause: nbio finds the connection of an event by its descriptor when it comes to the event. Where the loop closes a connection while the poller holds its event, a new one on the same number is ended for it.

Why it works: listeners and dials know the descriptor before the poller does, and wait until the poller has handled a batch that it took after the last close by another goroutine. Two calls for a socket of the loop's own show that. Calls that may close a descriptor hold a lock, since a number is free before close(2) returns. nbio's OnClose can't mark it: it runs later, on another goroutine.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -109,7 +109,7 @@
 	case c.state.closed || !c.state.established:
 		c.writer.drop()
 	case c.writer.isUnixSocket:
-		done, err := c.writer.writeUnix(c.socket)
+		done, err := c.writeUnix()
 		if err == nil && !done {
 			return false
 		}
@@ -127,10 +127,19 @@
 	return true
 }
 
+// writeUnix writes what is queued for a Unix socket, and reports whether the kernel accepted it all.
+func (c *Conn) writeUnix() (done bool, err error) {
+	err = c.loop.descriptors.write(func() error {
+		done, err = c.writer.writeUnix(c.socket)
+		return err
+	})
+	return done, err
+}
+
 // writeQueued writes what is queued for a socket other than a Unix socket. It returns a SlowPeerError when the peer
 // has bytes to read and all peers together leave too many unread.
 func (c *Conn) writeQueued() error {
-	err := c.writer.write(c.socket)
+	err := c.loop.descriptors.write(func() error { return c.writer.write(c.socket) })
 	if err != nil {
 		return err
 	}
@@ -165,7 +174,7 @@
 	c.socket = socket
 	if c.state.closed { // the handler closed the connection during the dial
 		if socket != nil {
-			socket.Close()
+			c.loop.descriptors.close(socket, nil)
 		}
 		return
 	}
@@ -213,6 +222,6 @@
 func (c *Conn) fail(err error) {
 	c.state.closed = true
 	if c.socket != nil {
-		c.socket.CloseWithError(err)
+		c.loop.descriptors.close(c.socket, err)
 	}
 }
--- /dev/null
+++ b/internal/eventloop/descriptors_test.go
@@ -0,0 +1,211 @@
+package eventloop
+
+import (
+	"context"
+	"io"
+	"net"
+	"path/filepath"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/lesismal/nbio"
+)
+
+// pendingEvent is the end of a connection that the poller holds and has yet to handle, since it is held up by another.
+type pendingEvent struct {
+	t          *testing.T
+	loop       *Loop
+	conn       *Conn // the connection that has ended
+	descriptor int   // its descriptor
+	holder     *Conn
+	client     net.Conn // of holder
+	taken      []int
+}
+
+// newPendingEvent holds the poller of a loop up, of which handlers are sent to accepted.
+func newPendingEvent(t *testing.T, l *Loop, accepted <-chan *echoHandler) *pendingEvent {
+	t.Helper()
+	accept := func() (net.Conn, *Conn) {
+		client := dial(t, l)
+		return client, (<-accepted).c
+	}
+	firstClient, first := accept()
+	secondClient, second := accept()
+	endedClient, ended := accept()
+	first.reader.mu.Lock()
+	second.reader.mu.Lock()
+	calls := l.poller.calls.Load()
+	firstClient.Write([]byte("x"))
+	awaitCalls(l, calls+1) // in a batch of its own
+	secondClient.Write([]byte("x"))
+	endedClient.Close()
+	first.reader.mu.Unlock()
+	awaitCalls(l, calls+2) // the rest of the batch is the end of the third connection
+	e := &pendingEvent{t: t, loop: l, conn: ended, descriptor: ended.socket.Hash(), holder: second, client: secondClient}
+	t.Cleanup(e.freeLower)
+	return e
+}
+
+// reuse closes the connection on the loop's goroutine, and takes the free descriptors below its own, so that this is the
+// next one.
+func (e *pendingEvent) reuse() {
+	closed := make(chan struct{})
+	e.loop.Post(func() {
+		e.conn.Close()
+		close(closed)
+	})
+	<-closed
+	for {
+		descriptor, err := syscall.Open("/dev/null", syscall.O_RDONLY|syscall.O_CLOEXEC, 0)
+		switch {
+		case err != nil || descriptor > e.descriptor:
+			e.t.Errorf("descriptor %d is not free: the next one is %d, %v", e.descriptor, descriptor, err)
+			return
+		case descriptor == e.descriptor:
+			syscall.Close(descriptor)
+			return
+		}
+		e.taken = append(e.taken, descriptor)
+	}
+}
+
+// freeLower closes the descriptors that were taken.
+func (e *pendingEvent) freeLower() {
+	for _, descriptor := range e.taken {
+		syscall.Close(descriptor)
+	}
+}
+
+// release has the poller go on, and returns once it has handled the event.
+func (e *pendingEvent) release() {
+	e.holder.reader.mu.Unlock()
+	for _, want := range []string{"x|", "y|"} { // the second is of a later batch
+		response := make([]byte, len(want))
+		if _, err := io.ReadFull(e.client, response); err != nil || string(response) != want {
+			e.t.Errorf("response %q, %v", response, err)
+		}
+		e.client.Write([]byte("y"))
+	}
+}
+
+// awaitCalls waits until the poller has been called so often.
+func awaitCalls(l *Loop, calls uint64) {
+	for l.poller.calls.Load() < calls {
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// preparedListener calls what it is sent before it returns a connection.
+type preparedListener struct {
+	net.Listener
+	prepare <-chan func()
+}
+
+func (p *preparedListener) Accept() (net.Conn, error) {
+	conn, err := p.Listener.Accept()
+	select {
+	case prepare := <-p.prepare:
+		prepare()
+	default:
+	}
+	return conn, err
+}
+
+// reuseLoop returns a loop with room for the connections of these tests.
+func reuseLoop() *Loop {
+	return New(Config{MaxAccepted: 16, MaxDescriptors: 256, MaxQueuedBytes: 8 << 20, MaxUnreadBytes: 32 << 20})
+}
+
+// The end of a connection, of which the poller has yet to handle the event, ends no connection that was accepted meanwhile
+// on the same descriptor.
+func TestAcceptedConnectionOutlivesAnEarlierOneOnItsDescriptor(t *testing.T) {
+	l := reuseLoop()
+	prepare := make(chan func(), 1)
+	l.listeners.listen = func(network, addr string) (net.Listener, error) {
+		listener, err := net.Listen(network, addr)
+		return &preparedListener{Listener: listener, prepare: prepare}, err
+	}
+	accepted := make(chan *echoHandler, 16)
+	runLoop(t, l, acceptInto(accepted, false))
+	pending := newPendingEvent(t, l, accepted)
+	connected := make(chan struct{})
+	prepare <- func() {
+		<-connected
+		pending.reuse()
+	}
+	client := dial(t, l)
+	close(connected)
+	time.Sleep(20 * time.Millisecond) // time to be polled
+	pending.release()
+	fresh := <-accepted
+	if descriptor := fresh.c.socket.Hash(); descriptor != pending.descriptor {
+		t.Fatalf("the connection has descriptor %d, not %d", descriptor, pending.descriptor)
+	}
+	if _, err := client.Write([]byte("z")); err != nil {
+		t.Fatal(err)
+	}
+	response := make([]byte, 2)
+	if _, err := io.ReadFull(client, response); err != nil || string(response) != "z|" {
+		t.Errorf("response %q, %v", response, err)
+	}
+}
+
+// The end of a connection, of which the poller has yet to handle the event, ends no connection that was dialled meanwhile
+// on the same descriptor.
+func TestDialledConnectionOutlivesAnEarlierOneOnItsDescriptor(t *testing.T) {
+	for _, network := range []string{"tcp", "unix"} {
+		t.Run(network, func(t *testing.T) {
+			addr := "127.0.0.1:0"
+			if network == "unix" {
+				addr = filepath.Join(t.TempDir(), "socket")
+			}
+			ln, err := net.Listen(network, addr)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer ln.Close()
+			l := reuseLoop()
+			accepted := make(chan *echoHandler, 16)
+			runLoop(t, l, acceptInto(accepted, false))
+			pending := newPendingEvent(t, l, accepted)
+			peers := make(chan net.Conn, 1)
+			descriptors := make(chan int, 1)
+			l.dialer.connect = func(_ context.Context, network, addr string, timeout time.Duration) (*nbio.Conn, error) {
+				std, err := net.DialTimeout(network, addr, timeout)
+				if err != nil {
+					return nil, err
+				}
+				peer, err := ln.Accept()
+				if err != nil {
+					return nil, err
+				}
+				peers <- peer
+				pending.reuse()
+				socket, err := adopt(std)
+				if err == nil {
+					descriptors <- socket.Hash()
+				}
+				return socket, err
+			}
+			d := newDialRecorder()
+			var c *Conn
+			l.Post(func() { c = l.Dial(network, ln.Addr().String(), time.Second, d) })
+			peer := <-peers
+			defer peer.Close()
+			if descriptor := <-descriptors; descriptor != pending.descriptor {
+				t.Fatalf("the connection has descriptor %d, not %d", descriptor, pending.descriptor)
+			}
+			time.Sleep(20 * time.Millisecond) // time to be polled
+			pending.release()
+			if err := <-d.opened; err != nil {
+				t.Fatal(err)
+			}
+			l.Post(func() { c.Write([]byte("z")) })
+			peer.SetDeadline(time.Now().Add(20 * time.Second))
+			if _, err := io.ReadFull(peer, make([]byte, 1)); err != nil {
+				t.Errorf("nothing came over the connection: %v", err)
+			}
+		})
+	}
+}
--- a/internal/eventloop/dialer.go
+++ b/internal/eventloop/dialer.go
@@ -22,13 +22,14 @@
 // dialer opens connections, each on a goroutine of its own that lives at most as long as the dial's timeout. The loop's
 // goroutine starts dials; a dial shares only the queue and the poller with it.
 type dialer struct {
-	connect    connectFunc
-	loopEnded  context.Context    // is done when the loop has ended, and ends dials
-	cancel     context.CancelFunc // of loopEnded
-	inProgress sync.WaitGroup     // goroutines of dials
-	queue      *queue
-	poller     *poller
-	idleCloser *idleCloser
+	connect     connectFunc
+	loopEnded   context.Context    // is done when the loop has ended, and ends dials
+	cancel      context.CancelFunc // of loopEnded
+	inProgress  sync.WaitGroup     // goroutines of dials
+	queue       *queue
+	poller      *poller
+	descriptors *descriptorGuard
+	idleCloser  *idleCloser
 }
 
 // start opens a socket for c and returns at once. The result is queued as an event. A net.Dialer opens the socket,
@@ -65,9 +66,11 @@
 	}
 }
 
-// register has the poller watch a socket for c.
+// register has the poller watch a socket for c. It blocks while the poller may hold an event of an earlier connection
+// with the same descriptor.
 func (d *dialer) register(socket *nbio.Conn, c *Conn) error {
-	if d.loopEnded.Err() != nil {
+	err := d.descriptors.awaitReusable()
+	if err != nil || d.loopEnded.Err() != nil {
 		socket.Close()
 		return errLoopEnded
 	}
--- a/internal/eventloop/doc.go
+++ b/internal/eventloop/doc.go
@@ -9,6 +9,9 @@
 //
 // Each dial has a goroutine of its own, which lives at most as long as the dial's timeout.
 //
+// nbio finds the connection of an event by its descriptor. So that an event of a connection that the loop has closed is
+// not applied to a new one, dials and listeners hand a connection to the poller only once that holds no such event.
+//
 // # Ownership
 //
 // All methods of handlers run on the loop's goroutine, and all methods of [Conn] must be called on it. Of a running
@@ -18,7 +21,8 @@
 //
 // The state is divided by concern, and each type names its owner: queue passes events to the loop, connReader and
 // connWriter read and write one connection, acceptedClients holds the accepted connections, admission limits their
-// number, dialer opens connections, flushList holds those to be written, and poller and listeners run nbio.
+// number, dialer opens connections, flushList holds those to be written, descriptorGuard keeps descriptors from being
+// used again too early, and poller and listeners run nbio.
 //
 // # Backpressure
 //
--- a/internal/eventloop/listeners.go
+++ b/internal/eventloop/listeners.go
@@ -107,7 +107,8 @@
 func (l *listeners) awaitEnd(ctx context.Context) { await(ctx, &l.acceptors) }
 
 // admittingListener admits a connection before nbio's poller reads it: one that is rejected is closed, and none of its
-// bytes has been read.
+// bytes has been read. It holds an admitted one back while the poller may hold an event of an earlier connection with
+// the same descriptor.
 type admittingListener struct {
 	net.Listener
 	loop *Loop
@@ -121,13 +122,29 @@
 			return nil, err
 		}
 		if a.loop.admission.admit() {
-			return conn, nil
+			return a.adopt(conn)
 		}
 		conn.Close()
 		a.loop.Post(func() { a.loop.clients.rejections.count++ })
 	}
 }
 
+// adopt makes an admitted connection nbio's, which gives it the descriptor that it is polled by, and returns it once
+// that can be polled. It blocks and must not be called on the event loop.
+func (a *admittingListener) adopt(conn net.Conn) (net.Conn, error) {
+	socket, err := adopt(conn)
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	err = a.loop.descriptors.awaitReusable()
+	if err != nil {
+		socket.Close()
+		return nil, net.ErrClosed
+	}
+	return socket, nil
+}
+
 // bindings finds the listener of a connection by the address that it was made to.
 type bindings map[string]acceptFunc
 
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -23,13 +23,14 @@
 	clock clock
 
 	// Shared with other goroutines; each type says how.
-	queue      *queue
-	poller     *poller
-	listeners  *listeners
-	admission  *admission
-	idleCloser *idleCloser
-	dialer     *dialer
-	unread     *unreadTotal
+	queue       *queue
+	poller      *poller
+	descriptors *descriptorGuard
+	listeners   *listeners
+	admission   *admission
+	idleCloser  *idleCloser
+	dialer      *dialer
+	unread      *unreadTotal
 
 	// Owned by Run's goroutine.
 	turnTimes
@@ -51,24 +52,27 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	queue := newQueue(clock.now, cfg.MaxQueuedBytes)
 	started := clock.now()
+	descriptors := &descriptorGuard{loopEnded: ctx}
 	l := &Loop{
-		clock:     clock,
-		queue:     queue,
-		poller:    newPoller(queue, cfg.MaxDescriptors),
-		unread:    &unreadTotal{max: int64(cfg.MaxUnreadBytes)},
-		turnTimes: turnTimes{now: started, arrived: started},
-		clients:   newAcceptedClients(logger),
+		clock:       clock,
+		queue:       queue,
+		poller:      newPoller(queue, descriptors, cfg.MaxDescriptors),
+		descriptors: descriptors,
+		unread:      &unreadTotal{max: int64(cfg.MaxUnreadBytes)},
+		turnTimes:   turnTimes{now: started, arrived: started},
+		clients:     newAcceptedClients(logger),
 	}
 	l.idleCloser = &idleCloser{queue: queue, closeIdle: l.closeIdleClient, loopEnded: ctx}
 	l.admission = &admission{limit: int64(cfg.MaxAccepted), idleCloser: l.idleCloser}
 	l.listeners = newListeners(l, logger)
 	l.dialer = &dialer{
-		connect:    connect,
-		loopEnded:  ctx,
-		cancel:     cancel,
-		queue:      queue,
-		poller:     l.poller,
-		idleCloser: l.idleCloser,
+		connect:     connect,
+		loopEnded:   ctx,
+		descriptors: descriptors,
+		cancel:      cancel,
+		queue:       queue,
+		poller:      l.poller,
+		idleCloser:  l.idleCloser,
 	}
 	return l
 }
