Start one engine at a time, and size its table by the limit that the process had

Two loops that start at once raced on nbio's package variables for its table's size and its log level: TestListenerOutlastsFaultsOfAccept failed under -race. Each start also took the size that the one before had set, so that a loop with more descriptors than an earlier one got too small a table, and its connections beyond it would have been closed.

A lock is held while an engine starts, and the size counts from what nbio chose at the program's start. go test -race ./internal/eventloop passes. The deployed program has one loop: its callers saw nothing of this.

--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"os"
+	"sync"
 	"sync/atomic"
 	"syscall"
 
@@ -16,6 +17,12 @@
 // minDescriptors is the smallest size of the table of connections that nbio is configured for.
 const minDescriptors = 1024
 
+// systemMaxOpenFiles is the size of that table that nbio chose by the limit of the process.
+var systemMaxOpenFiles = nbio.MaxOpenFiles
+
+// engineStart is held while an engine starts: nbio takes its size and its log level from variables of its package.
+var engineStart sync.Mutex
+
 // poller runs nbio's engine: one goroutine that polls all connections, and one for each listener. Its callbacks queue
 // what happened and touch no state of the loop.
 type poller struct {
@@ -63,8 +70,10 @@
 
 // startEngine starts nbio's engine, and with it all goroutines.
 func (p *poller) startEngine(listeners *listeners) (*nbio.Engine, error) {
+	engineStart.Lock()
+	defer engineStart.Unlock()
 	logging.SetLevel(logging.LevelNone) // the callbacks report its errors to our log
-	nbio.MaxOpenFiles = min(nbio.MaxOpenFiles, max(p.maxDescriptors, minDescriptors)*2)
+	nbio.MaxOpenFiles = min(systemMaxOpenFiles, max(p.maxDescriptors, minDescriptors)*2)
 	engine := nbio.NewEngine(nbio.Config{
 		Network:            "tcp",
 		Addrs:              listeners.addrs(),
