Read again where a read failed for want of memory, before a connection ends

With ENOMEM or ENOBUFS injected, 0 of 1,000 bytes were read that a peer had written before it closed: nbio closes the connection when the callback returns. And the last read before a close at rest took such a failure for an empty socket, so that a request in the kernel was lost with its connection.

The poller now reads again at a peer's end (1 ms apart, 100 times at most), and a connection that can't be read is not at rest. The read goes through a function of the loop, which tests replace.

--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -40,7 +40,7 @@
 		isAccepted: true,
 		writer:     connWriter{total: loop.unread},
 	}
-	c.reader = connReader{conn: c, queue: loop.queue}
+	c.reader = connReader{conn: c, queue: loop.queue, read: loop.read}
 	return c
 }
 
@@ -51,7 +51,7 @@
 		handler: handler,
 		writer:  connWriter{total: loop.unread, isUnixSocket: network == "unix"},
 	}
-	c.reader = connReader{conn: c, queue: loop.queue}
+	c.reader = connReader{conn: c, queue: loop.queue, read: loop.read}
 	return c
 }
 
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -30,6 +30,7 @@
 	admission   *admission
 	idleCloser  *idleCloser
 	dialer      *dialer
+	read        readFunc
 	unread      *unreadTotal
 
 	// Owned by Run's goroutine.
@@ -58,6 +59,7 @@
 		queue:       queue,
 		poller:      newPoller(queue, descriptors, cfg.MaxDescriptors),
 		descriptors: descriptors,
+		read:        readSocket,
 		unread:      &unreadTotal{max: int64(cfg.MaxUnreadBytes)},
 		turnTimes:   turnTimes{now: started, arrived: started},
 		clients:     newAcceptedClients(logger),
--- a/internal/eventloop/reader.go
+++ b/internal/eventloop/reader.go
@@ -21,16 +21,30 @@
 	// readPause is how long the poller waits after a read that failed for lack of memory, since nbio calls it again at
 	// once.
 	readPause = time.Millisecond
+
+	// maxReadPauses is how many such pauses a connection may cost before it is ended with what its peer left unread.
+	maxReadPauses = 100
 )
 
+// readFunc reads from a socket into a buffer, as read(2) does.
+type readFunc = func(socket *nbio.Conn, buffer []byte) (size int, err error)
+
+// readSocket reads from a socket.
+func readSocket(socket *nbio.Conn, buffer []byte) (size int, err error) {
+	_, size, err = socket.ReadAndGetConn(&buffer)
+	return size, err
+}
+
 // connReader reads one connection and queues what it has read for the loop. The poller and the loop's goroutine share
 // it: whoever reads the socket holds mu. Data is queued in the order in which it was read.
 type connReader struct {
 	conn  *Conn
 	queue *queue
+	read  readFunc
 
 	mu      sync.Mutex // held while the socket is read
 	stopped bool       // nothing more is read; guarded by mu
+	pauses  int        // after reads that failed for want of memory; guarded by mu
 
 	queuedReads atomic.Int32 // reads that are queued for the loop and not handled
 }
@@ -45,27 +59,42 @@
 		if reads >= maxReads && !hasEnded(socket) {
 			return
 		}
-		buffer := pollerBuffer
-		_, size, err := socket.ReadAndGetConn(&buffer)
+		size, err := r.read(socket, pollerBuffer)
 		if size > 0 {
-			r.queue.push(r.newEvent(buffer[:size]))
+			r.queue.push(r.newEvent(pollerBuffer[:size]))
 		}
 		switch {
-		case errors.Is(err, syscall.EINTR):
-		case errors.Is(err, syscall.EAGAIN):
-			return
-		case errors.Is(err, syscall.ENOMEM), errors.Is(err, syscall.ENOBUFS): // a brief fault of this machine
-			time.Sleep(readPause)
-			return
-		case err != nil:
-			socket.CloseWithError(err)
+		case err == nil && size < len(pollerBuffer):
 			return
-		case size < len(buffer):
+		case err != nil && !r.readsAgain(socket, err):
 			return
 		}
 	}
 }
 
+// readsAgain reports whether a socket of which a read failed is read again at once, and closes it after an error that
+// is for good. After want of memory it blocks for readPause. The caller holds mu.
+func (r *connReader) readsAgain(socket *nbio.Conn, err error) bool {
+	switch {
+	case errors.Is(err, syscall.EINTR):
+		return true
+	case errors.Is(err, syscall.EAGAIN):
+		return false
+	case isOutOfMemory(err):
+		time.Sleep(readPause)
+		r.pauses++
+		return r.pauses < maxReadPauses && hasEnded(socket)
+	}
+	socket.CloseWithError(err)
+	return false
+}
+
+// isOutOfMemory reports whether a read failed because the kernel has no memory for it, as a rule for a moment. There
+// may be data all the same.
+func isOutOfMemory(err error) bool {
+	return errors.Is(err, syscall.ENOMEM) || errors.Is(err, syscall.ENOBUFS)
+}
+
 // newEvent returns the event of a read, with a copy of its data, and counts it. The caller holds mu and queues it.
 func (r *connReader) newEvent(data []byte) event {
 	r.queuedReads.Add(1)
@@ -91,22 +120,21 @@
 	return true
 }
 
-// readOnce queues what the kernel holds, up to the size of buffer, and reports whether there was anything. The caller
-// holds mu. It runs on the loop's goroutine, which must not wait for the queue.
+// readOnce queues what the kernel holds, up to the size of buffer, and reports whether there was or may be anything.
+// The caller holds mu. It runs on the loop's goroutine, which must not wait for the queue.
 func (r *connReader) readOnce(socket *nbio.Conn, buffer []byte) bool {
 	if socket == nil {
 		return false
 	}
 	for {
-		available := buffer
-		_, size, err := socket.ReadAndGetConn(&available)
+		size, err := r.read(socket, buffer)
 		if errors.Is(err, syscall.EINTR) {
 			continue
 		}
 		if size > 0 {
-			r.queue.pushNow(r.newEvent(available[:size]))
+			r.queue.pushNow(r.newEvent(buffer[:size]))
 		}
-		return size > 0
+		return size > 0 || isOutOfMemory(err)
 	}
 }
 
--- a/internal/eventloop/reader_test.go
+++ b/internal/eventloop/reader_test.go
@@ -1,9 +1,14 @@
 package eventloop
 
 import (
+	"io"
 	"net"
+	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
+
+	"github.com/lesismal/nbio"
 )
 
 // timedHandler keeps how long ago, by the loop's clock, data arrived when it is handled.
@@ -103,3 +108,66 @@
 		t.Errorf("stopped: %v, closed %d times", r.stopped, closes)
 	}
 }
+
+// failReads has the next reads of a loop, which does not run yet, fail with an error.
+func failReads(l *Loop, err error) (next *atomic.Int64) {
+	next = &atomic.Int64{}
+	l.read = func(socket *nbio.Conn, buffer []byte) (int, error) {
+		if next.Add(-1) >= 0 {
+			return -1, err
+		}
+		return readSocket(socket, buffer)
+	}
+	return next
+}
+
+// Reads that fail for a moment for want of memory lose nothing of what a peer wrote before it closed.
+func TestReadsThatFailForMemoryLoseNothingBeforeAnEnd(t *testing.T) {
+	for _, fault := range []error{syscall.ENOMEM, syscall.ENOBUFS, syscall.EINTR} {
+		t.Run(fault.Error(), func(t *testing.T) {
+			l := New(oneByteQueue(4))
+			failing := failReads(l, fault)
+			runLoop(t, l, acceptSilent)
+			r := &countingHandler{dialRecorder: newDialRecorder()}
+			c, peer := dialPeer(t, l, "tcp", "127.0.0.1:0", r, r.opened)
+			const size = 1000
+			c.reader.mu.Lock()
+			failing.Store(3)
+			peer.Write(make([]byte, size))
+			peer.Close()
+			c.reader.mu.Unlock()
+			<-r.closed
+			if got := r.got.Load(); got != size {
+				t.Errorf("%d of %d bytes were read before the end", got, size)
+			}
+		})
+	}
+}
+
+// A connection is not taken for one at rest because it can't be read for want of memory.
+func TestConnectionThatCannotBeReadIsNotAtRest(t *testing.T) {
+	for _, fault := range []error{syscall.ENOMEM, syscall.ENOBUFS} {
+		t.Run(fault.Error(), func(t *testing.T) {
+			l := New(oneByteQueue(4))
+			failing := failReads(l, fault)
+			accepted := make(chan *echoHandler, 1)
+			runLoop(t, l, acceptInto(accepted, false))
+			client := dial(t, l)
+			c := (<-accepted).c
+			c.reader.mu.Lock() // keeps the poller from it
+			client.Write([]byte("x"))
+			awaitCalls(l, 1)
+			failing.Store(1)
+			mayHold := make(chan bool)
+			l.Post(func() { mayHold <- c.reader.readOnce(c.socket, l.clients.buffer) })
+			if !<-mayHold {
+				t.Error("nothing was read, and the connection counts as read to its end")
+			}
+			c.reader.mu.Unlock()
+			response := make([]byte, 2)
+			if _, err := io.ReadFull(client, response); err != nil || string(response) != "x|" {
+				t.Errorf("response %q, %v", response, err)
+			}
+		})
+	}
+}
