Count turns, calls of the poller, and ends of clients' connections by cause

A write that fails since the client has gone counts as the peer's end.

A turn reads the clock as often as before.

--- a/internal/eventloop/clients.go
+++ b/internal/eventloop/clients.go
@@ -65,7 +65,7 @@
 		if idle == nil {
 			return false
 		}
-		if idle.closeAtRest() {
+		if idle.closeAtRest(EndedForRoom) {
 			return true
 		}
 		passedOver[idle] = true
@@ -104,7 +104,7 @@
 func (a *acceptedClients) closeAtRest() {
 	for c := range a.conns {
 		if !c.activity.hasPartialMessage() {
-			c.closeAtRest()
+			c.closeAtRest(EndedForShutdown)
 		}
 	}
 }
@@ -126,9 +126,9 @@
 		c.Close()
 	case !c.activity.timedOut(now, hasUnread) || c.isBusy():
 	case hasUnread || c.activity.hasPartialMessage(): // it reads or writes too slowly
-		c.Close()
+		c.closeFor(EndedForTimeout)
 	default:
-		c.closeAtRest()
+		c.closeAtRest(EndedForTimeout)
 	}
 }
 
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -28,6 +28,7 @@
 	closing     bool // the sweep closes it once the peer has read what was written
 	closed      bool // by this side: nothing more is written to it or handled of it
 	ended       bool // the poller reported its end
+	cause       EndCause
 }
 
 // newAcceptedConn returns a connection that a listener has accepted. accept is nil when no listener has its address. A
@@ -77,8 +78,12 @@
 
 // Close closes the connection and drops what this turn queued for it. Its handler's Closed is called in a later turn,
 // if the connection was ever established.
-func (c *Conn) Close() {
+func (c *Conn) Close() { c.closeFor(EndedByHandler) }
+
+// closeFor closes the connection for a cause, unless it is closed already.
+func (c *Conn) closeFor(cause EndCause) {
 	if !c.state.closed {
+		c.state.cause = cause
 		c.fail(nil)
 	}
 }
@@ -209,18 +214,21 @@
 // would drop what is queued, and with it the only response to a request.
 func (c *Conn) owesResponse() bool { return c.isBusy() || !c.writer.isEmpty() }
 
-// closeAtRest closes an accepted connection on which no response is due and nothing has arrived, and reports whether it
-// did.
-func (c *Conn) closeAtRest() bool {
+// closeAtRest closes an accepted connection for a cause if no response is due on it and nothing has arrived, and
+// reports whether it did.
+func (c *Conn) closeAtRest(cause EndCause) bool {
 	if c.state.closed || c.owesResponse() {
 		return false
 	}
-	return c.reader.stopIfDrained(c.socket, c.loop.clients.buffer, c.Close)
+	return c.reader.stopIfDrained(c.socket, c.loop.clients.buffer, func() { c.closeFor(cause) })
 }
 
 // fail closes the connection with the error that its handler's Closed receives in a later turn.
 func (c *Conn) fail(err error) {
 	c.state.closed = true
+	if err != nil && !isPeerGone(err) {
+		c.state.cause = EndedAfterFailure
+	}
 	if c.socket != nil {
 		c.loop.descriptors.close(c.socket, err)
 	}
--- a/internal/eventloop/errors.go
+++ b/internal/eventloop/errors.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"net"
 	"net/netip"
 	"slices"
 	"syscall"
@@ -55,6 +56,11 @@
 	return slices.ContainsFunc(localFaults, func(fault syscall.Errno) bool { return errors.Is(err, fault) })
 }
 
+// isPeerGone reports whether a write failed because the peer has closed or reset the connection.
+func isPeerGone(err error) bool {
+	return errors.Is(err, syscall.EPIPE) || errors.Is(err, syscall.ECONNRESET) || errors.Is(err, net.ErrClosed)
+}
+
 // IsDescriptorExhausted reports whether an error means that this machine has no descriptor or buffer left. It says
 // nothing about a peer.
 func IsDescriptorExhausted(err error) bool {
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -35,9 +35,10 @@
 
 	// Owned by Run's goroutine.
 	turnTimes
-	clients *acceptedClients
-	flushes flushList
-	stopped bool
+	clients  *acceptedClients
+	flushes  flushList
+	counters Counters
+	stopped  bool
 }
 
 // turnTimes holds the times of the present turn. The loop's goroutine owns it.
@@ -136,7 +137,9 @@
 		if !l.flushes.isEmpty() {
 			next = min(next, now+stalledPause)
 		}
-		timer.Reset(max(min(next, now+sweepInterval)-l.clock.now(), 0))
+		end := l.clock.now()
+		l.counters.turnEnded(end - now)
+		timer.Reset(max(min(next, now+sweepInterval)-end, 0))
 	}
 }
 
@@ -191,6 +194,7 @@
 		return
 	}
 	if c.isAccepted {
+		l.counters.connectionEnded(c)
 		l.admission.ended()
 	}
 	c.notifyClosed(err)
--- a/internal/server/counters.go
+++ b/internal/server/counters.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 
+	"crankhold/internal/eventloop"
 	"crankhold/internal/router"
 	"crankhold/policy"
 )
@@ -16,6 +17,7 @@
 	s.logRequestCounters()
 	s.logWorkerCounters()
 	s.logPoolCounters()
+	s.logLoopCounters()
 	s.integrations.logCounters()
 	logCounterLine(s.logger,
 		slog.Uint64("discovery_queries", s.discovery.QueriesSent),
@@ -66,6 +68,24 @@
 		slog.Uint64("pings", connections.Pings))
 }
 
+// logLoopCounters logs what the event loop did, and a line for each cause that ended connections of clients.
+func (s *Server) logLoopCounters() {
+	counters := s.loop.Counters()
+	logCounterLine(s.logger,
+		slog.Uint64("turns", counters.Turns),
+		slog.Int64("longest_turn_us", counters.LongestTurn.Microseconds()),
+		slog.Uint64("poller_calls", counters.PollerCalls))
+	for cause, count := range counters.Ends {
+		if count.Connections == 0 {
+			continue
+		}
+		logCounterLine(s.logger,
+			slog.String("ended_by", eventloop.EndCause(cause).String()),
+			slog.Uint64("connections", count.Connections),
+			slog.Uint64("response_due", count.ResponseDue))
+	}
+}
+
 // logPoolCounters logs one line for each pool of the routes in force.
 func (s *Server) logPoolCounters() {
 	table := s.core.Routes()
--- a/internal/server/soak_test.go
+++ b/internal/server/soak_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math/rand/v2"
 	"os"
+	"regexp"
 	"strconv"
 	"sync"
 	"syscall"
@@ -28,6 +29,9 @@
 	drainLoad      = 0.6                    // processors that a program may use on average while it drains
 )
 
+// endsWithResponseDue finds reports of connections that a program ended though a response was due.
+var endsWithResponseDue = regexp.MustCompile(`ended_by=(handler|room|timeout|shutdown|failure) connections=\d+ response_due=[1-9]\d*`)
+
 // soakTry is one sending of a request, over a connection on which nothing else is open.
 type soakTry struct {
 	sentAt  time.Time
@@ -226,6 +230,11 @@
 	if taken < answered || taken > answered+left {
 		s.t.Errorf("%d requests were read, %d were answered and %d clients went", taken, answered, left)
 	}
+	for _, program := range append(s.draining, s.remaining) {
+		for _, ends := range endsWithResponseDue.FindAllString(program.output(), -1) {
+			s.t.Errorf("a program closed connections on which a response was due: %s", ends)
+		}
+	}
 	if len(s.misled) > 0 {
 		s.t.Errorf("%d requests went to a draining worker", len(s.misled))
 	}
