Compare the kind and zone of a worker block with the platform's lists by name

crankhold check accepted kind = "large*" in a worker block, which then matched no selector: the check used the patterns that only selectors have. The case was added first and failed with "no fault"; both settings are now reported at their position.

--- a/internal/lang/worker.go
+++ b/internal/lang/worker.go
@@ -1,6 +1,8 @@
 package lang
 
 import (
+	"slices"
+
 	"crankhold/internal/endpoint"
 	"crankhold/internal/lang/syntax"
 	"crankhold/internal/route"
@@ -117,10 +119,11 @@
 	return labels
 }
 
-// checkListed checks that a setting's values are on a list, where there is one.
+// checkListed checks that a setting's values are on a list, where there is one. They are names: only selectors have
+// patterns.
 func (w *workerBuilder) checkListed(b *block, setting, listName string, list []string) {
 	for _, v := range b.values[setting] {
-		if len(list) > 0 && !matchesAnyOf(v.text, list) {
+		if len(list) > 0 && !slices.Contains(list, v.text) {
 			w.report.fault(b, v.pos, "%s %q is none of %s%s", setting, v.text, listName, suggest(v.text, list))
 		}
 	}
