Count what arrives while the process is stopped from the begin of the stall

A request that arrived during a stop of the whole process counted from when the poller read it: over a stop of 0.5 s the worker was told 959 ms where the client had 500 ms left, 6 times of 6.

The loop rests for 100 ms at most (200 before), so that more than 150 ms between the begins of two turns show a stall. What is read then and 20 ms later counts from the begin of the earlier turn.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -44,7 +44,8 @@
 // turnTimes holds the times of the present turn. The loop's goroutine owns it.
 type turnTimes struct {
 	now     time.Duration // the turn's one reading of the clock
-	arrived time.Duration // when the data was read that is being handled; otherwise now
+	arrived time.Duration // when the data arrived that is being handled; otherwise now
+	stall   stall
 }
 
 // New returns a Loop without listeners. The caller ends it by Close.
@@ -96,9 +97,9 @@
 // Now is the time of the present turn, in whole microseconds on the monotonic clock.
 func (l *Loop) Now() time.Duration { return l.now }
 
-// ArrivedAt is the time at which the data was read that a handler receives. It is earlier than Now by as much as the
-// loop was held up. What a client waits for counts from ArrivedAt, and what goes out by Now. Outside of Handler.Data it
-// is Now.
+// ArrivedAt is the time at which the data arrived that a handler receives: when it was read, or the begin of a stall in
+// which it may have waited unread. It is earlier than Now by as much as the loop was held up. What a client waits for
+// counts from ArrivedAt, and what goes out by Now. Outside of Handler.Data it is Now.
 func (l *Loop) ArrivedAt() time.Duration { return l.arrived }
 
 // Post has call run on the loop's goroutine. It returns at once, and any goroutine may call it. Once the loop has
@@ -120,12 +121,14 @@
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	var spare []event
+	l.now = l.clock.now()
 	for !l.stopped {
 		select {
 		case <-l.queue.wake:
 		case <-timer.C:
 		}
 		batch, now := l.queue.take(spare[:0])
+		l.stall.observe(l.now, now)
 		l.now = now
 		l.arrived = now
 		begin(now)
@@ -139,7 +142,7 @@
 		}
 		end := l.clock.now()
 		l.counters.turnEnded(end - now)
-		timer.Reset(max(min(next, now+sweepInterval)-end, 0))
+		timer.Reset(max(min(next, now+maxRest)-end, 0))
 	}
 }
 
@@ -177,7 +180,7 @@
 		case dialEnded:
 			e.conn.dialEnded(e.socket, e.err)
 		case dataReceived:
-			l.arrived = e.at
+			l.arrived = l.stall.arrival(e.at)
 			e.conn.receive(e.data)
 			l.arrived = l.now
 		case connectionEnded:
--- a/internal/server/soak_machine_test.go
+++ b/internal/server/soak_machine_test.go
@@ -74,20 +74,25 @@
 	if state := p.cmd.ProcessState; state != nil {
 		return state.UserTime() + state.SystemTime()
 	}
-	text, err := os.ReadFile("/proc/" + strconv.Itoa(p.cmd.Process.Pid) + "/stat")
-	if err != nil {
-		p.t.Fatal(err)
-	}
-	_, rest, _ := strings.Cut(string(text), ") ") // behind the name, which may hold spaces
-	fields := strings.Fields(rest)
+	fields := p.stat()
 	user, userErr := strconv.Atoi(fields[11])
 	system, systemErr := strconv.Atoi(fields[12])
 	if userErr != nil || systemErr != nil {
-		p.t.Fatalf("processor times in %q", rest)
+		p.t.Fatalf("processor times in %q", fields)
 	}
 	return time.Duration(user+system) * clockTick
 }
 
+// stat returns what the kernel tells of a program that runs, from its state on.
+func (p *program) stat() []string {
+	text, err := os.ReadFile("/proc/" + strconv.Itoa(p.cmd.Process.Pid) + "/stat")
+	if err != nil {
+		p.t.Fatal(err)
+	}
+	_, rest, _ := strings.Cut(string(text), ") ") // behind the name, which may hold spaces
+	return strings.Fields(rest)
+}
+
 // firstProcessor returns a processor that this process may run on.
 func firstProcessor(t *testing.T) int {
 	t.Helper()
--- /dev/null
+++ b/internal/server/stall_test.go
@@ -0,0 +1,62 @@
+package server
+
+import (
+	"fmt"
+	"net"
+	"syscall"
+	"testing"
+	"time"
+
+	"crankhold/internal/fake"
+)
+
+// A request that arrives while the whole process is stopped has waited when it is read: the worker is told what its client
+// has left, with 0.15 s of slack.
+func TestBudgetCountsTheTimeOfAStoppedProcess(t *testing.T) {
+	const (
+		wait    = time.Second
+		stopped = 500 * time.Millisecond
+		slack   = 150 * time.Millisecond
+	)
+	listener := listenLoopback(t)
+	_, listen, document := siteFor(t, 1, nil)
+	firstTopology(document)["members"].([]any)[0].(map[string]any)["host_port"] = listener.Addr().String()
+	document["names"] = "127.0.0.1:9"
+	type told struct {
+		at     time.Time
+		budget time.Duration
+	}
+	commands := make(chan told, 8)
+	go serveCommands(listener, func(conn net.Conn, words []string) {
+		if words[0] == "RUN" {
+			commands <- told{at: time.Now(), budget: budgetOf(t, words[2])}
+			fmt.Fprint(conn, responseTo(words[1]))
+		}
+	})
+	p := startProgramWith(t, document, listen)
+	client := p.client()
+	for n := 1; n <= 6; n++ {
+		time.Sleep(time.Duration(n) * 37 * time.Millisecond) // the loop is at different points of its rest
+		if err := p.cmd.Process.Signal(syscall.SIGSTOP); err != nil {
+			t.Fatal(err)
+		}
+		p.until(func() bool { return p.stat()[0] == "T" }, "it is stopped")
+		call := callOf(n)
+		call.Timeout = wait
+		sentAt := time.Now()
+		ended := make(chan error, 1)
+		client.Go(call, func(_ fake.Response, err error) { ended <- err })
+		time.Sleep(stopped)
+		if err := p.cmd.Process.Signal(syscall.SIGCONT); err != nil {
+			t.Fatal(err)
+		}
+		if err := <-ended; err != nil {
+			t.Fatal(err)
+		}
+		command := <-commands
+		left := wait - command.at.Sub(sentAt)
+		if command.budget > left+slack {
+			t.Errorf("the worker was told %v where the client had %v left", command.budget, left)
+		}
+	}
+}
