--- a/internal/endpoint/state.go
+++ b/internal/endpoint/state.go
@@ -2,7 +2,7 @@
 
 import "time"
 
-// Times after which an address counts as working again. They are chosen, not measured.
+// Times after which an address counts as working again.
 const (
 	firstBackoff  = 500 * time.Millisecond // of a failed address; it doubles with each failure
 	maxBackoff    = 30 * time.Second
--- /dev/null
+++ b/internal/eventloop/poller_calls_test.go
@@ -0,0 +1,112 @@
+package eventloop
+
+import (
+	"net"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	// settleTime is long enough for a poller that spins to be called thousands of times.
+	settleTime = 50 * time.Millisecond
+	// maxSettledCalls is how often the poller may be called in it, with a pause of readPause after each call.
+	maxSettledCalls = 2 * int(settleTime/readPause)
+)
+
+// sendUrgent sends a byte of urgent data.
+func sendUrgent(t *testing.T, client net.Conn) {
+	t.Helper()
+	raw, err := client.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = raw.Control(func(descriptor uintptr) {
+		err = syscall.Sendto(int(descriptor), []byte("u"), syscall.MSG_OOB, nil)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// The poll is level-triggered. Nothing that stays as it is has the poller called again without end.
+func TestPollerRestsWhateverAPeerLeaves(t *testing.T) {
+	for _, test := range []struct {
+		name  string
+		leave func(t *testing.T, l *Loop, c *Conn, client net.Conn) (restore func())
+	}{
+		{"urgent data", func(t *testing.T, _ *Loop, _ *Conn, client net.Conn) func() {
+			sendUrgent(t, client)
+			return func() {}
+		}},
+		{"urgent data behind other data", func(t *testing.T, _ *Loop, _ *Conn, client net.Conn) func() {
+			client.Write([]byte("x"))
+			sendUrgent(t, client)
+			return func() {}
+		}},
+		{"half a connection", func(_ *testing.T, _ *Loop, _ *Conn, client net.Conn) func() {
+			client.(*net.TCPConn).CloseWrite()
+			return func() {}
+		}},
+		{"a reset", func(_ *testing.T, _ *Loop, _ *Conn, client net.Conn) func() {
+			client.(*net.TCPConn).SetLinger(0)
+			client.Close()
+			return func() {}
+		}},
+		{"a full queue", func(_ *testing.T, l *Loop, _ *Conn, client net.Conn) func() {
+			release := hold(l)
+			for range 3 {
+				client.Write([]byte("x"))
+				time.Sleep(time.Millisecond)
+			}
+			return release
+		}},
+		{"a closed listener", func(_ *testing.T, l *Loop, _ *Conn, _ net.Conn) func() {
+			l.Post(l.CloseClients)
+			return func() {}
+		}},
+		{"a reader that has stopped", func(t *testing.T, l *Loop, c *Conn, client net.Conn) func() {
+			closed := make(chan bool)
+			l.Post(func() { closed <- c.closeAtRest(EndedForRoom) })
+			if !<-closed {
+				t.Error("the connection is not at rest")
+			}
+			client.Write([]byte("x"))
+			return func() {}
+		}},
+	} {
+		t.Run(test.name, func(t *testing.T) {
+			l := New(oneByteQueue(4))
+			accepted := make(chan *echoHandler, 1)
+			runLoop(t, l, acceptInto(accepted, false))
+			client := dial(t, l)
+			c := (<-accepted).c
+			defer test.leave(t, l, c, client)()
+			time.Sleep(settleTime)
+			before := l.poller.calls.Load()
+			time.Sleep(settleTime)
+			if calls := l.poller.calls.Load() - before; calls > uint64(maxSettledCalls) {
+				t.Errorf("the poller was called %d times in %v", calls, settleTime)
+			}
+		})
+	}
+}
+
+// A read that goes on failing for want of memory costs the poller a call in a millisecond, and no more.
+func TestPollerPausesWhileReadsFailForMemory(t *testing.T) {
+	l := New(oneByteQueue(4))
+	failing := failReads(l, syscall.ENOMEM)
+	accepted := make(chan *echoHandler, 1)
+	runLoop(t, l, acceptInto(accepted, false))
+	client := dial(t, l)
+	<-accepted
+	failing.Store(1 << 40)
+	client.Write([]byte("x"))
+	time.Sleep(settleTime)
+	before := l.poller.calls.Load()
+	time.Sleep(settleTime)
+	if calls := l.poller.calls.Load() - before; calls > uint64(maxSettledCalls) {
+		t.Errorf("the poller was called %d times in %v", calls, settleTime)
+	}
+	failing.Store(0)
+}
