Start without the guard of descriptors where the system has no Unix sockets

Its sockets are TCP and UDP over IPv4 alone. Before the guard the same error was passed over, when a loop closed.

A loop whose poller can't have its own socket for EAFNOSUPPORT now logs descriptor_guard_unavailable and runs as before the guard. Other errors still end the start. The test runs a loop so.

--- a/internal/eventloop/descriptors.go
+++ b/internal/eventloop/descriptors.go
@@ -16,7 +16,7 @@
 // counts are descriptors that other goroutines close. All their calls of nbio that may close one go through the guard.
 type descriptorGuard struct {
 	loopEnded context.Context // ends all waits
-	turns     *pollerTurns    // nil until the poller starts
+	turns     *pollerTurns    // nil until the poller starts, and where there can be none: then nothing waits
 
 	mu     sync.Mutex // held during a call that may close a descriptor: its number is free before the call returns
 	closed uint64     // calls that closed a descriptor; guarded by mu
@@ -47,6 +47,9 @@
 // with an error when the loop has ended. It blocks, and must be called neither on the event loop nor on the polling
 // goroutine.
 func (g *descriptorGuard) awaitReusable() error {
+	if g.turns == nil {
+		return g.loopEnded.Err()
+	}
 	closed := g.closedCount()
 	if g.passed.Load() >= closed {
 		return nil
--- a/internal/eventloop/descriptors_test.go
+++ b/internal/eventloop/descriptors_test.go
@@ -209,3 +209,25 @@
 		})
 	}
 }
+
+// A system without Unix sockets gets a loop that works, without the guard.
+func TestLoopRunsWithoutUnixSockets(t *testing.T) {
+	l := reuseLoop()
+	l.poller.newTurns = func() (*pollerTurns, error) {
+		return nil, &net.OpError{Op: "file", Net: "unix", Err: syscall.EAFNOSUPPORT}
+	}
+	accepted := make(chan *echoHandler, 16)
+	runLoop(t, l, acceptInto(accepted, false))
+	for range 3 {
+		client := dial(t, l)
+		response := make([]byte, 2)
+		if _, err := client.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadFull(client, response); err != nil || string(response) != "x|" {
+			t.Errorf("response %q, %v", response, err)
+		}
+		c := (<-accepted).c
+		l.Post(c.Close)
+	}
+}
--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"net"
 	"os"
 	"sync"
@@ -30,7 +31,8 @@
 	maxDescriptors int          // of the process
 	queue          *queue
 	descriptors    *descriptorGuard
-	turns          *pollerTurns // nil until start
+	newTurns       func() (*pollerTurns, error)
+	turns          *pollerTurns // nil until start, and where the system has no Unix sockets
 	buffer         []byte       // what is read into; owned by the polling goroutine
 
 	calls atomic.Uint64 // of readable, by the polling goroutine
@@ -46,25 +48,31 @@
 		queue:          queue,
 		descriptors:    descriptors,
 		maxDescriptors: maxDescriptors,
+		newTurns:       newPollerTurns,
 		buffer:         make([]byte, readBufferSize),
 	}
 }
 
 // start opens the listeners and starts the goroutines. Its error wraps a ListenError when an address can't be listened
-// on.
+// on. Where the system has no Unix sockets, descriptors are not guarded.
 func (p *poller) start(listeners *listeners) error {
-	turns, err := newPollerTurns()
-	if err != nil {
+	turns, err := p.newTurns()
+	switch {
+	case errors.Is(err, syscall.EAFNOSUPPORT):
+		listeners.logger.Warn("descriptor_guard_unavailable", slog.Any("err", err))
+	case err != nil:
 		return err
 	}
 	p.turns = turns
 	p.descriptors.turns = turns
-	engine, err := p.startEngine(listeners)
-	if err != nil {
+	p.engine, err = p.startEngine(listeners)
+	switch {
+	case turns == nil:
+		return err
+	case err != nil:
 		turns.discard()
 		return err
 	}
-	p.engine = engine
 	return p.watch(turns.socket, turns)
 }
 
@@ -142,13 +150,18 @@
 // the goroutine clears when it starts: one that starts late would poll forever. It blocks and must not be called on the
 // event loop.
 func (p *poller) awaitRunning(ctx context.Context) {
+	if p.turns == nil {
+		return
+	}
 	_ = p.turns.await(ctx) // where it fails, shutdown is limited by ctx too
 }
 
 // shutdown ends the goroutines, or stops waiting for them when ctx is done.
 func (p *poller) shutdown(ctx context.Context) {
 	_ = p.engine.Shutdown(ctx) // its only error is that of ctx
-	p.turns.close()
+	if p.turns != nil {
+		p.turns.close()
+	}
 }
 
 // socketPair returns two sockets that are connected to each other, of which the first is nbio's.
