--- /dev/null
+++ b/internal/archtest/known_failures_test.go
@@ -0,0 +1,76 @@
+package archtest
+
+import (
+	"os"
+	"path/filepath"
+	"regexp"
+	"strings"
+	"testing"
+)
+
+// knownFailuresFile lists what fails for a known fault.
+const knownFailuresFile = "KNOWN-RED.txt"
+
+// benchEntry stands in place of a test's name where a play of the bench fails.
+const benchEntry = "bench"
+
+// issueField is the issue under which a fault is open.
+var issueField = regexp.MustCompile(`^issue \d+$`)
+
+// checkKnownFailure returns what is wrong with an entry, or an empty string.
+func checkKnownFailure(entry string, tests map[string]bool) string {
+	fields := strings.Split(entry, " | ")
+	if len(fields) != 4 {
+		return "it has not four fields"
+	}
+	name, command, seen, issue := fields[0], fields[1], fields[2], fields[3]
+	switch {
+	case name != benchEntry && !tests[name]:
+		return "it names no test"
+	case !strings.Contains(command, "seed"):
+		return "its command has no seed"
+	case strings.TrimSpace(seen) == "":
+		return "it does not say what was seen"
+	case !issueField.MatchString(issue):
+		return "it names no issue"
+	}
+	return ""
+}
+
+// The list of known failures says of each entry how to see it fail, and names tests that exist.
+func TestKnownFailuresAreWhole(t *testing.T) {
+	root := filepath.Join("..", "..")
+	text, err := os.ReadFile(filepath.Join(root, knownFailuresFile))
+	if err != nil {
+		t.Fatal(err)
+	}
+	tests := testFunctions(t, root)
+	for line := range strings.Lines(string(text)) {
+		line = strings.TrimSpace(line)
+		if line == "" || strings.HasPrefix(line, "#") {
+			continue
+		}
+		if fault := checkKnownFailure(line, tests); fault != "" {
+			t.Errorf("%s: %s", line, fault)
+		}
+	}
+}
+
+// Entries that lack a field, or name a test that is gone, are found.
+func TestIncompleteKnownFailuresAreFound(t *testing.T) {
+	tests := map[string]bool{"TestSoak": true}
+	for entry, whole := range map[string]bool{
+		"TestSoak | go test -run TestSoak ./internal/server, seed 7 | no response | issue 46": true,
+		"bench | lbreal S --rough roll+mass --seed 109 | lost | issue 42":                     true,
+		"TestGone | go test -run TestGone, seed 7 | no response | issue 46":                   false,
+		"TestSoak | go test -run TestSoak | no response | issue 46":                           false,
+		"TestSoak | go test -run TestSoak, seed 7 |  | issue 46":                              false,
+		"TestSoak | go test -run TestSoak, seed 7 | no response":                              false,
+		"TestSoak | go test -run TestSoak, seed 7 | no response | later":                      false,
+		"TestSoak: no response (46)":                                                          false,
+	} {
+		if fault := checkKnownFailure(entry, tests); (fault == "") != whole {
+			t.Errorf("%s: %q", entry, fault)
+		}
+	}
+}
