Tell why a worker's response can't be used, in the log and by counters

- The decoder returns a Violation: unexpected type, invalid length, missing line end, unexpected array length, unknown status, mismatched status, unsolicited response.
Each still is an ErrMalformedResponse.
- worker_connection_closed says the violation and how the response begins, beside the worker's address.
- counters_reported has a line for each violation that occurred: malformed_response and connections.

No response is judged in another way than before: the golden test of malformed responses now compares the counter of each as well, and its verdicts stay. internal/workerclient and internal/archtest passed.

--- a/internal/server/counters.go
+++ b/internal/server/counters.go
@@ -6,6 +6,7 @@
 
 	"crankhold/internal/eventloop"
 	"crankhold/internal/router"
+	"crankhold/internal/workerclient"
 	"crankhold/policy"
 )
 
@@ -68,6 +69,19 @@
 		slog.Uint64("recovery_dials_failed", connections.RecoveryDialsFailed),
 		slog.Uint64("resent", connections.RequestsResent),
 		slog.Uint64("pings", connections.Pings))
+	s.logMalformedResponses()
+}
+
+// logMalformedResponses logs one line for each violation of the protocol for which a connection to a worker was closed.
+func (s *Server) logMalformedResponses() {
+	for violation, count := range s.workers.Counters.MalformedResponses {
+		if count == 0 {
+			continue
+		}
+		logCounterLine(s.logger,
+			slog.String("malformed_response", workerclient.Violation(violation).String()),
+			slog.Uint64("connections", count))
+	}
 }
 
 // logLoopCounters logs the counters of the event loop, and one line for each cause for which client connections were
--- a/internal/workerclient/errors.go
+++ b/internal/workerclient/errors.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 
 	"crankhold/internal/endpoint"
 )
@@ -16,6 +17,20 @@
 	ErrConnectionSilent = errors.New("connection is silent while other connections to the worker respond")
 )
 
+// MalformedResponseError reports data of a worker that violates the protocol. It is an ErrMalformedResponse.
+type MalformedResponseError struct {
+	Violation Violation
+	Data      string // the beginning of the response that can't be used
+}
+
+// Error returns the violation and the beginning of the data.
+func (e *MalformedResponseError) Error() string {
+	return fmt.Sprintf("%v: %v at %q", ErrMalformedResponse, e.Violation, e.Data)
+}
+
+// Unwrap returns ErrMalformedResponse, for errors.Is.
+func (e *MalformedResponseError) Unwrap() error { return ErrMalformedResponse }
+
 // ConnectionError is the reason for which the worker client closed a connection. Its message omits the address, which
 // is a separate attribute of log events.
 type ConnectionError struct {
--- a/internal/workerclient/golden_test.go
+++ b/internal/workerclient/golden_test.go
@@ -250,36 +250,43 @@
 	}
 }
 
-// A response that violates the protocol closes its connection and completes no request. A response to an unknown id is
-// ignored.
+// A response that violates the protocol closes its connection, is counted by its violation and completes no request. A
+// response to an unknown id is ignored.
 func TestGoldenMalformedResponses(t *testing.T) {
 	for _, test := range []struct {
-		label  string
-		closes bool
+		label      string
+		violations []Violation // none if the connection stays open
 	}{
-		{"answer to an unknown id", false},
-		{"answer in lower case", true},
-		{"unknown word", true},
-		{"PONG to a call", true},
-		{"SICK to a call", true},
-		{"INFO answered by PONG", false}, // no health check is in flight here
-		{"answer of one word", true},
-		{"answer of no word", true},
-		{"answer of nine words", true},
-		{"answer without its mark", true},
-		{"length that is no number", true},
-		{"negative length", true},
-		{"line without a carriage return", true},
-		{"word that is longer than its length", true},
-		{"length over the limit", true},
+		{"answer to an unknown id", nil},
+		{"answer in lower case", []Violation{UnknownStatus}},
+		{"unknown word", []Violation{UnknownStatus}},
+		{"PONG to a call", []Violation{MismatchedStatus}},
+		{"SICK to a call", []Violation{MismatchedStatus}},
+		{"INFO answered by PONG", nil}, // no health check is in flight here
+		{"answer of one word", []Violation{UnexpectedArrayLength}},
+		{"answer of no word", []Violation{UnexpectedArrayLength}},
+		{"answer of nine words", []Violation{InvalidLength}},
+		{"answer without its mark", []Violation{UnexpectedType}},
+		{"length that is no number", []Violation{InvalidLength}},
+		{"negative length", []Violation{InvalidLength}},
+		{"line without a carriage return", []Violation{InvalidLength}},
+		{"word that is longer than its length", []Violation{MissingLineEnd}},
+		{"length over the limit", []Violation{InvalidLength}},
 	} {
 		p, record := newGoldenPool()
 		p.StartAttempt(1, attempt, newRequest(requestID), time.Second)
 		connection := p.transports[0]
 		connection.handler.DialCompleted(nil)
 		connection.handler.Data(golden.FindMessage(t, goldenResponses, test.label))
-		if !reflect.DeepEqual(record, &decodedResults{}) || connection.Closed != test.closes {
+		if !reflect.DeepEqual(record, &decodedResults{}) || connection.Closed != (len(test.violations) > 0) {
 			t.Errorf("%s: decoded %+v, closed %v", test.label, record, connection.Closed)
 		}
+		var want [violationCount]uint64
+		for _, violation := range test.violations {
+			want[violation]++
+		}
+		if p.Counters.MalformedResponses != want {
+			t.Errorf("%s: counted %v, want %v", test.label, p.Counters.MalformedResponses, want)
+		}
 	}
 }
--- a/internal/workerclient/pool.go
+++ b/internal/workerclient/pool.go
@@ -53,16 +53,6 @@
 	Dial func(network, addr string, timeout time.Duration, h eventloop.DialHandler) Transport
 }
 
-// Counters counts events of connections.
-type Counters struct {
-	Dials               uint64 // started, without recovery dials
-	DialsFailed         uint64
-	RecoveryDials       uint64 // started
-	RecoveryDialsFailed uint64
-	RequestsResent      uint64 // resends of commands that an earlier connection had not sent whole
-	Pings               uint64 // keepalive pings that were sent
-}
-
 // Pool manages the connections to all workers. The event loop's goroutine owns it: all of its methods must be called
 // there. None of them blocks.
 type Pool struct {
--- a/internal/workerclient/receive.go
+++ b/internal/workerclient/receive.go
@@ -1,5 +1,10 @@
 package workerclient
 
+import "errors"
+
+// maxLoggedResponse is how much of a response that can't be used is logged, in bytes.
+const maxLoggedResponse = 64
+
 // Data handles data that arrived on the connection.
 func (c *connection) Data(data []byte) {
 	if c.state == closing {
@@ -14,10 +19,23 @@
 // decode is the framing.Decoder of responses.
 func (c *connection) decode(unread []byte) (size int, err error) {
 	r, size, err := decodeResponse(unread)
-	if err != nil || size == 0 {
-		return 0, err
+	if err == nil && size > 0 {
+		err = c.handleResponse(&r)
+	}
+	if err != nil {
+		return 0, c.pool.recordMalformedResponse(err, unread)
+	}
+	return size, nil
+}
+
+// recordMalformedResponse counts a violation at the start of data, and returns it with the beginning of data.
+func (p *Pool) recordMalformedResponse(err error, data []byte) error {
+	var violation Violation
+	if !errors.As(err, &violation) {
+		return err
 	}
-	return size, c.handleResponse(&r)
+	p.Counters.MalformedResponses[violation]++
+	return &MalformedResponseError{Violation: violation, Data: string(data[:min(len(data), maxLoggedResponse)])}
 }
 
 // handleResponse completes the command that a response belongs to. It returns an error for a response that violates the
@@ -29,10 +47,12 @@
 		return nil // a duplicate, or the response to a canceled request
 	}
 	switch {
-	case r.status == statusUnknown, cmd.kind.isHealthQuery() != r.status.respondsToHealthQuery():
-		return ErrMalformedResponse
+	case r.status == statusUnknown:
+		return UnknownStatus
+	case cmd.kind.isHealthQuery() != r.status.respondsToHealthQuery():
+		return MismatchedStatus
 	case !cmd.sendState.written:
-		return ErrMalformedResponse // a response to a command that was not sent
+		return UnsolicitedResponse
 	}
 	c.commands.remove(cmd)
 	c.lastUsed = c.pool.now
--- a/internal/workerclient/resp.go
+++ b/internal/workerclient/resp.go
@@ -36,14 +36,14 @@
 		}
 		end := start + length
 		if end > maxResponse {
-			return nil, 0, ErrMalformedResponse
+			return nil, 0, InvalidLength
 		}
 		offset = end + len(lineEnd)
 		if len(data) < offset {
 			return nil, 0, nil
 		}
 		if !bytes.Equal(data[end:offset], lineEnd) {
-			return nil, 0, ErrMalformedResponse
+			return nil, 0, MissingLineEnd
 		}
 		elements = append(elements, data[start:end])
 	}
@@ -68,17 +68,17 @@
 // line is incomplete.
 func cutLengthLine(data []byte, typeByte byte) (line []byte, err error) {
 	if len(data) > 0 && data[0] != typeByte {
-		return nil, ErrMalformedResponse
+		return nil, UnexpectedType
 	}
 	end := bytes.IndexByte(data[:min(len(data), maxLengthLine)], '\n')
 	if end < 0 {
 		if len(data) >= maxLengthLine {
-			return nil, ErrMalformedResponse
+			return nil, InvalidLength
 		}
 		return nil, nil
 	}
 	if end < len("*0\r") || data[end-1] != '\r' {
-		return nil, ErrMalformedResponse
+		return nil, InvalidLength
 	}
 	return data[:end+1], nil
 }
@@ -87,11 +87,11 @@
 func parseLength(digits []byte, limit int) (length int, err error) {
 	for _, digit := range digits {
 		if digit < '0' || digit > '9' {
-			return 0, ErrMalformedResponse
+			return 0, InvalidLength
 		}
 		length = length*10 + int(digit-'0')
 		if length > limit {
-			return 0, ErrMalformedResponse
+			return 0, InvalidLength
 		}
 	}
 	return length, nil
--- a/internal/workerclient/response_decoding.go
+++ b/internal/workerclient/response_decoding.go
@@ -85,7 +85,7 @@
 		return response{}, 0, err
 	}
 	if len(elements) <= statusElement {
-		return response{}, 0, ErrMalformedResponse
+		return response{}, 0, UnexpectedArrayLength
 	}
 	r.id = elements[idElement]
 	r.status = statusByName[string(elements[statusElement])]
