Take no array of two or three elements for a worker's response

Cause: decodeResponse took fields and body as optional. Of a response whose array claims three elements it served the first three, and read the body as the start of the next response.

Any other number closes the connection as soon as it has arrived, before a command completes; an unknown status does too. What was in flight fails where it must not repeat.

TestResponseWithAWrongLengthCompletesNothing and the new rows of TestConnectionsThatBreakAtAnyByte failed before ("*2 ... completed its command: [served]"; served "" after 1 runs, dim-level and repair-order).

Five golden messages of that form were expected to be used; they stand unchanged among the malformed ones, and new ones of four elements take their place. A golden message of nine elements is counted as a wrong array length, and so is one of two with a wrong length behind it, which gets a successor of four. decodeArray is used by tests alone now.

--- a/internal/server/broken_connections_test.go
+++ b/internal/server/broken_connections_test.go
@@ -153,6 +153,9 @@
 		{"a complete response after one to an unknown request", 0, func(c *net.TCPConn, id string) { fmt.Fprint(c, servedResponse("00000000000000ff"), servedResponse(id)) }, true},
 		{"a complete response, then malformed bytes", 0, func(c *net.TCPConn, id string) { fmt.Fprint(c, servedResponse(id), "*-4\r\n") }, true},
 		{"nonsense", 0, func(c *net.TCPConn, id string) { fmt.Fprint(c, "+OK\r\n") }, false},
+		{"a response whose array is one element too short", 0, func(c *net.TCPConn, id string) { fmt.Fprint(c, strings.Replace(servedResponse(id), "*4", "*3", 1)) }, false},
+		{"a response whose array is two elements too short", 0, func(c *net.TCPConn, id string) { fmt.Fprint(c, strings.Replace(servedResponse(id), "*4", "*2", 1)) }, false},
+		{"a response whose array is one element too long", 0, func(c *net.TCPConn, id string) { fmt.Fprint(c, strings.Replace(servedResponse(id), "*4", "*5", 1)) }, false},
 		{"a response with an unknown word", 0, func(c *net.TCPConn, id string) { fmt.Fprint(c, strings.Replace(servedResponse(id), "HIT", "HAT", 1)) }, false},
 	}
 	for _, at := range []int{0, 1, 4, 20, responseSize / 2, responseSize - 3, responseSize - 1} {
--- a/internal/workerclient/bench_test.go
+++ b/internal/workerclient/bench_test.go
@@ -47,7 +47,7 @@
 	pool.SetWorker(1, []endpoint.Addr{{Network: endpoint.TCP4, Addr: "127.0.0.1:1"}}, policy.Ready)
 	pool.CheckHealth(1, 1)
 	handler.DialCompleted(nil)
-	handler.Data([]byte("*2\r\n$2\r\np1\r\n$4\r\nPONG\r\n"))
+	handler.Data([]byte("*4\r\n$2\r\np1\r\n$4\r\nPONG\r\n$1\r\n-\r\n$0\r\n\r\n"))
 	const ids = 1000 // distinct, because a connection carries each id only once
 	var requests [ids]*router.Request
 	var responses [ids][]byte
--- a/internal/workerclient/example_test.go
+++ b/internal/workerclient/example_test.go
@@ -63,7 +63,7 @@
 	transport.handler.Data([]byte("*4\r\n$16\r\n0123456789abcdef\r\n$3\r\nHIT\r\n$1\r\n-\r\n$6\r\noutput\r\n"))
 
 	pool.CheckHealth(worker, 3)
-	transport.handler.Data([]byte("*3\r\n$2\r\np3\r\n$4\r\nPONG\r\n$14\r\nuse=inflight:0\r\n"))
+	transport.handler.Data([]byte("*4\r\n$2\r\np3\r\n$4\r\nPONG\r\n$14\r\nuse=inflight:0\r\n$0\r\n\r\n"))
 
 	pool.CloseIdle(worker)
 	// Output:
--- a/internal/workerclient/golden_test.go
+++ b/internal/workerclient/golden_test.go
@@ -146,8 +146,6 @@
 		{"HIT without fields", router.AttemptResult{Outcome: policy.Served, Body: result}},
 		{"HIT with an empty body", router.AttemptResult{Outcome: policy.Served, LoadStatus: policy.AlreadyLoaded, Body: []byte{}}},
 		{"HIT with a binary body", router.AttemptResult{Outcome: policy.Served, LoadStatus: policy.AlreadyLoaded, Body: []byte("\x00\r\n$3\r\n\xff")}},
-		{"HIT without a body", router.AttemptResult{Outcome: policy.Served, LoadStatus: policy.AlreadyLoaded}},
-		{"HIT of two words", router.AttemptResult{Outcome: policy.Served}},
 		{"HIT after a load began", router.AttemptResult{Outcome: policy.Served, LoadStatus: policy.StartedLoad, Body: result}},
 		{"HIT after waiting for a load", router.AttemptResult{Outcome: policy.Served, LoadStatus: policy.WaitedForLoad, Body: result}},
 		{"HIT with an unknown detail", router.AttemptResult{Outcome: policy.Served, Body: result}},
@@ -207,7 +205,6 @@
 		want  healthCheckResult
 	}{
 		{"INFO answered by PONG", healthCheckResult{7, policy.Served, []float64{3, 0.5}}},
-		{"INFO answered by PONG of two words", healthCheckResult{7, policy.Served, nil}},
 		{"INFO answered by PONG without a report", healthCheckResult{7, policy.Served, nil}},
 		{"INFO answered by SICK", healthCheckResult{7, policy.Failed, []float64{3, 1}}},
 		{"INFO answered by SICK without a report", healthCheckResult{7, policy.Failed, nil}},
@@ -225,7 +222,7 @@
 
 // The response to a NOOP shows that its connection works, and completes no other command on it.
 func TestGoldenResponsesToKeepalivePings(t *testing.T) {
-	for _, label := range []string{"NOOP answered by PONG", "NOOP answered by SICK"} {
+	for _, label := range []string{"NOOP answered by PONG of four words", "NOOP answered by SICK of four words"} {
 		p, record := newGoldenPool()
 		p.StartAttempt(1, attempt, newRequest(requestID), time.Second)
 		connection := p.transports[0]
@@ -244,7 +241,7 @@
 	connection := openRecoveryDial(t)
 	worker := connection.handler.(*recoveryDial).worker
 	unavailable := worker.addresses.UnavailableCount()
-	connection.handler.Data(golden.FindMessage(t, goldenResponses, "NOOP of a trial answered by PONG"))
+	connection.handler.Data(golden.FindMessage(t, goldenResponses, "NOOP of a trial answered by PONG of four words"))
 	if unavailable != 1 || worker.addresses.UnavailableCount() != 0 || !connection.Closed {
 		t.Errorf("recovery dial: %d addresses unavailable before, %d after, closed %v", unavailable, worker.addresses.UnavailableCount(), connection.Closed)
 	}
@@ -265,12 +262,19 @@
 		{"INFO answered by PONG", nil}, // no health check is in flight here
 		{"answer of one word", []Violation{UnexpectedArrayLength}},
 		{"answer of no word", []Violation{UnexpectedArrayLength}},
-		{"answer of nine words", []Violation{InvalidLength}},
+		{"answer of nine words", []Violation{UnexpectedArrayLength}},
 		{"answer without its mark", []Violation{UnexpectedType}},
 		{"length that is no number", []Violation{InvalidLength}},
 		{"negative length", []Violation{InvalidLength}},
 		{"line without a carriage return", []Violation{InvalidLength}},
-		{"word that is longer than its length", []Violation{MissingLineEnd}},
+		{"HIT without a body", []Violation{UnexpectedArrayLength}},
+		{"HIT of two words", []Violation{UnexpectedArrayLength}},
+		{"INFO answered by PONG of two words", []Violation{UnexpectedArrayLength}},
+		{"NOOP answered by PONG", []Violation{UnexpectedArrayLength}}, // of two words
+		{"NOOP answered by SICK", []Violation{UnexpectedArrayLength}},
+		{"answer of five words", []Violation{UnexpectedArrayLength}},
+		{"word that is longer than its length", []Violation{UnexpectedArrayLength}}, // of two words too
+		{"id that is longer than its length", []Violation{MissingLineEnd}},
 		{"length over the limit", []Violation{InvalidLength}},
 	} {
 		p, record := newGoldenPool()
--- a/internal/workerclient/health_command_test.go
+++ b/internal/workerclient/health_command_test.go
@@ -17,7 +17,7 @@
 	}{
 		"well": {1, func(transport *fakeTransport) {
 			transport.handler.DialCompleted(nil)
-			transport.handler.Data([]byte("*2\r\n$2\r\np7\r\n$4\r\nPONG\r\n"))
+			transport.handler.Data(encodeResponse("p7", "PONG", ""))
 		}, policy.Served},
 		"died": {1, func(transport *fakeTransport) { transport.handler.DialCompleted(errors.New("refused")) }, policy.Unreachable},
 		"breaks": {maxHealthCheckResends, func(transport *fakeTransport) {
--- a/internal/workerclient/helpers_test.go
+++ b/internal/workerclient/helpers_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math"
 	"strings"
 	"time"
 
@@ -100,6 +101,16 @@
 	return &router.Request{ID: id, Function: router.Function{Key: "00000000000000aa"}, Body: []byte("hello")}
 }
 
+// decodeArray decodes the array of bulk strings at the start of data, such as a command. It returns its size in bytes, or
+// 0 while it is incomplete.
+func decodeArray(data []byte) (elements [][]byte, size int, err error) {
+	count, offset, err := decodeLength(data, 0, arrayType, math.MaxInt32)
+	if err != nil || offset == 0 {
+		return nil, 0, err
+	}
+	return decodeBulkStrings(data, offset, count, nil)
+}
+
 // encodeResponse returns a response of four elements, without fields.
 func encodeResponse(id, status, body string) []byte {
 	return fmt.Appendf(nil, "*4\r\n$%d\r\n%s\r\n$%d\r\n%s\r\n$1\r\n-\r\n$%d\r\n%s\r\n", len(id), id, len(status), status, len(body), body)
--- a/internal/workerclient/liveness_test.go
+++ b/internal/workerclient/liveness_test.go
@@ -54,7 +54,7 @@
 	p.StartAttempt(1, router.Attempt{Request: 1}, newRequest("00000000000000a1"), time.Second)
 	p.transports[0].handler.DialCompleted(nil)
 	p.Maintain(minSilenceBeforePing + MaintenanceInterval)
-	p.transports[0].handler.Data([]byte("*2\r\n$2\r\nn1\r\n$4\r\nPONG\r\n"))
+	p.transports[0].handler.Data(encodeResponse("n1", "PONG", ""))
 	if p.StartAttempt(1, router.Attempt{Request: 2}, newRequest("00000000000000b2"), time.Second); len(p.transports) != 1 || p.transports[0].Closed {
 		t.Error("a connection that responded to its ping got no further request")
 	}
--- a/internal/workerclient/model_transport_test.go
+++ b/internal/workerclient/model_transport_test.go
@@ -39,8 +39,7 @@
 		t.written = append(t.written, buffer...)
 	}
 	for {
-		var storage [maxElements][]byte
-		elements, size, err := decodeArray(t.written[t.decoded:], storage[:0])
+		elements, size, err := decodeArray(t.written[t.decoded:])
 		if err != nil || size == 0 {
 			break
 		}
--- a/internal/workerclient/receive.go
+++ b/internal/workerclient/receive.go
@@ -42,23 +42,32 @@
 // protocol.
 func (c *connection) handleResponse(r *response) error {
 	cmd := c.commands.inFlight[string(r.id)]
+	if cmd != nil {
+		err := c.checkResponse(cmd, r)
+		if err != nil {
+			return err
+		}
+	}
 	c.recordResponse(cmd, r.status)
 	if cmd == nil {
 		return nil // a duplicate, or the response to a canceled request
 	}
+	c.commands.remove(cmd)
+	c.lastUsed = c.pool.now
+	c.liveness.recordResponseTo(cmd.sendState.sentAt)
+	c.pool.removeAttempt(cmd)
+	cmd.kind.complete(c, *r)
+	return nil
+}
+
+// checkResponse returns a Violation if a response can't be the one to a command.
+func (c *connection) checkResponse(cmd *command, r *response) error {
 	switch {
-	case r.status == statusUnknown:
-		return UnknownStatus
 	case cmd.kind.isHealthQuery() != r.status.respondsToHealthQuery():
 		return MismatchedStatus
 	case !cmd.sendState.written:
 		return UnsolicitedResponse
 	}
-	c.commands.remove(cmd)
-	c.lastUsed = c.pool.now
-	c.liveness.recordResponseTo(cmd.sendState.sentAt)
-	c.pool.removeAttempt(cmd)
-	cmd.kind.complete(c, *r)
 	return nil
 }
 
--- a/internal/workerclient/resp.go
+++ b/internal/workerclient/resp.go
@@ -10,7 +10,6 @@
 const (
 	maxBulkString = 16<<10 + 64           // a body, the longest bulk string
 	maxResponse   = maxBulkString + 4<<10 // a whole response
-	maxElements   = 8                     // elements of an array; a response has four
 	maxLengthLine = 12                    // "*4" or "$16384", with a margin
 )
 
@@ -22,28 +21,25 @@
 
 var lineEnd = []byte("\r\n")
 
-// decodeArray decodes the array of bulk strings at the start of data. It appends the strings, which point into data, to
-// elements, and returns the size of the array in bytes, or 0 while the array is incomplete.
-func decodeArray(data []byte, elements [][]byte) (_ [][]byte, size int, err error) {
-	count, offset, err := decodeLength(data, 0, arrayType, maxElements)
-	if err != nil || offset == 0 {
-		return nil, 0, err
-	}
+// decodeBulkStrings decodes count bulk strings of an array, from offset on. It appends the strings, which point into
+// data, to elements. It returns the offset of their end, or 0 while they are incomplete; the complete ones are returned
+// in either case.
+func decodeBulkStrings(data []byte, offset, count int, elements [][]byte) (_ [][]byte, end int, err error) {
 	for range count {
 		length, start, err := decodeLength(data, offset, bulkStringType, maxBulkString)
 		if err != nil || start == 0 {
-			return nil, 0, err
+			return elements, 0, err
 		}
 		end := start + length
 		if end > maxResponse {
-			return nil, 0, InvalidLength
+			return elements, 0, InvalidLength
 		}
 		offset = end + len(lineEnd)
 		if len(data) < offset {
-			return nil, 0, nil
+			return elements, 0, nil
 		}
 		if !bytes.Equal(data[end:offset], lineEnd) {
-			return nil, 0, MissingLineEnd
+			return elements, 0, MissingLineEnd
 		}
 		elements = append(elements, data[start:end])
 	}
--- a/internal/workerclient/response_decoding.go
+++ b/internal/workerclient/response_decoding.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"math"
 	"strconv"
 
 	"crankhold/policy"
@@ -68,36 +69,58 @@
 	body   []byte
 }
 
-// The positions of the elements of a response. The last two elements may be absent.
+// The positions of the elements of a response. Every response has all of them; one without fields has "-", and one
+// without a body an empty element.
 const (
 	idElement = iota
 	statusElement
 	fieldsElement
 	bodyElement
+	responseElements // their number
 )
 
-// decodeResponse decodes the response at the start of data: an id, a status and, optionally, fields and a body. It
-// returns the size of the response in bytes, or 0 while the response is incomplete.
+// decodeResponse decodes the response at the start of data. It returns the size of the response in bytes, or 0 while
+// the response is incomplete. The error is a Violation, and is returned as soon as the element that has it is complete.
 func decodeResponse(data []byte) (r response, size int, err error) {
-	var storage [maxElements][]byte
-	elements, size, err := decodeArray(data, storage[:0])
-	if err != nil || size == 0 {
+	count, offset, err := decodeLength(data, 0, arrayType, math.MaxInt32)
+	if err != nil || offset == 0 {
 		return response{}, 0, err
 	}
-	if len(elements) <= statusElement {
+	if count != responseElements {
 		return response{}, 0, UnexpectedArrayLength
 	}
-	r.id = elements[idElement]
-	r.status = statusByName[string(elements[statusElement])]
-	if len(elements) > fieldsElement {
-		r.fields = elements[fieldsElement]
+	var storage [responseElements][]byte
+	elements, size, err := decodeBulkStrings(data, offset, responseElements, storage[:0])
+	if err != nil {
+		return response{}, 0, err
 	}
-	if len(elements) > bodyElement {
-		r.body = elements[bodyElement]
+	r, err = newResponse(elements)
+	if err != nil || size == 0 {
+		return response{}, 0, err
 	}
 	return r, size, nil
 }
 
+// newResponse returns a response with the elements that have arrived. It checks the status.
+func newResponse(elements [][]byte) (r response, err error) {
+	for position, element := range elements {
+		switch position {
+		case idElement:
+			r.id = element
+		case statusElement:
+			r.status = statusByName[string(element)]
+			if r.status == statusUnknown {
+				return response{}, UnknownStatus
+			}
+		case fieldsElement:
+			r.fields = element
+		case bodyElement:
+			r.body = element
+		}
+	}
+	return r, nil
+}
+
 // responseFields is a list of the form name=value,name=value. An empty list is "-".
 type responseFields []byte
 
--- a/internal/workerclient/silence_test.go
+++ b/internal/workerclient/silence_test.go
@@ -53,7 +53,7 @@
 				p.Maintain(now)
 				if p.Counters.Pings > pinged { // the worker is healthy and responds
 					pinged = p.Counters.Pings
-					p.transports[0].handler.Data([]byte(fmt.Sprintf("*2\r\n$%d\r\nn%d\r\n$4\r\nPONG\r\n", len(fmt.Sprint("n", p.pingSequence)), p.pingSequence)))
+					p.transports[0].handler.Data(encodeResponse(pingID(p.pingSequence), "PONG", ""))
 				}
 			}
 			p.transports[0].handler.Data(encodeResponse(id, "HIT", ""))
