Pass a worker's response on only if what arrived behind it is another response

Seen: by tests alone. If the length of a body is too small and ends at a line end within the body, the client was told served with the first part of it, for a repair-order too.

Cause: a response completed its request before what stood behind it in the same read was looked at; the rest of the body closed the connection only afterwards.

Why the fix works: a body holds any bytes, so nothing in a shortened one shows where it should end, but its rest stands behind it and is no response. A response before one to another request in flight is still served, whatever is wrong with that one, and so is one before a second copy, an unknown id or the start of the next.

--- a/internal/workerclient/response_decoding.go
+++ b/internal/workerclient/response_decoding.go
@@ -121,6 +121,21 @@
 	return r, nil
 }
 
+// decodeResponseID decodes the id of the response at the start of data. The rest of the response may be malformed or
+// incomplete. It returns nil if there is no id.
+func decodeResponseID(data []byte) []byte {
+	_, offset, err := decodeLength(data, 0, arrayType, math.MaxInt32)
+	if err != nil || offset == 0 {
+		return nil
+	}
+	var storage [1][]byte
+	elements, _, _ := decodeBulkStrings(data, offset, len(storage), storage[:0])
+	if len(elements) == 0 {
+		return nil
+	}
+	return elements[idElement]
+}
+
 // responseFields is a list of the form name=value,name=value. An empty list is "-".
 type responseFields []byte
 
--- a/internal/workerclient/violation.go
+++ b/internal/workerclient/violation.go
@@ -12,6 +12,7 @@
 	UnknownStatus                          // the status is none of the protocol's
 	MismatchedStatus                       // the status does not belong to the response to such a command
 	UnsolicitedResponse                    // the command was not written yet
+	TrailingData                           // what arrived with the response, behind it, is no response
 	violationCount
 )
 
@@ -24,6 +25,7 @@
 	UnknownStatus:         "unknown status",
 	MismatchedStatus:      "mismatched status",
 	UnsolicitedResponse:   "unsolicited response",
+	TrailingData:          "trailing data",
 }
 
 // String returns the name of the violation.
