Take a worker's response whose fields hold a line end for malformed

Seen: by a test alone. If the length of the fields is too large, they take up the length of the body, and what the body itself has in the form of an element was served: "abc" of "$3\r\nabc".

Cause: what could not be read in the fields counted as absent, a line end and the length behind it too.

Evidence: TestFieldsThatHoldTheStartOfTheBodyAreMalformed failed on (outcomes [served], served with "abc").

Why the fix works: neither a name nor a value can hold a line end, and whatever a length that is too large takes up ends at one. A first form refused all fields that are no list of name=value as well; TestDeploymentsInvalidFields, by which fields that can't be used are ignored and the response counts, failed with it and stays as it is.

--- a/internal/workerclient/golden_test.go
+++ b/internal/workerclient/golden_test.go
@@ -275,6 +275,7 @@
 		{"answer of five words", []Violation{UnexpectedArrayLength}},
 		{"word that is longer than its length", []Violation{UnexpectedArrayLength}}, // of two words too
 		{"id that is longer than its length", []Violation{MissingLineEnd}},
+		{"HIT with a line end in its fields", []Violation{InvalidFields}},
 		{"HIT, then a line", []Violation{TrailingData}},
 		{"length over the limit", []Violation{InvalidLength}},
 	} {
--- a/internal/workerclient/response_decoding.go
+++ b/internal/workerclient/response_decoding.go
@@ -101,7 +101,7 @@
 	return r, size, nil
 }
 
-// newResponse returns a response with the elements that have arrived. It checks the status.
+// newResponse returns a response with the elements that have arrived. It checks the status and the fields.
 func newResponse(elements [][]byte) (r response, err error) {
 	for position, element := range elements {
 		switch position {
@@ -114,6 +114,9 @@
 			}
 		case fieldsElement:
 			r.fields = element
+			if r.fields.holdsLineEnd() {
+				return response{}, InvalidFields
+			}
 		case bodyElement:
 			r.body = element
 		}
@@ -139,6 +142,10 @@
 // responseFields is a list of the form name=value,name=value. An empty list is "-".
 type responseFields []byte
 
+// holdsLineEnd reports whether a part of the list is a line end. Neither a name nor a value can hold one, so the length
+// of the list, or of an element before it, does not fit.
+func (f responseFields) holdsLineEnd() bool { return bytes.Contains(f, lineEnd) }
+
 // The names of the fields of responses.
 const (
 	fieldDetail      = "detail" // how the replica came to be loaded
--- a/internal/workerclient/response_length_test.go
+++ b/internal/workerclient/response_length_test.go
@@ -121,6 +121,21 @@
 	}
 }
 
+// Guards against a body that loses its beginning: fields whose length is too large took it up to a line end, and what the
+// body itself has in the form of a further element was served.
+func TestFieldsThatHoldTheStartOfTheBodyAreMalformed(t *testing.T) {
+	const body = "$3\r\nabc"
+	response := [responseElements]string{requestID, "HIT", "detail=hot", body}
+	swallowed := len("\r\n$8") // the line end of the fields and the length of the body
+	p := newTestPool()
+	p.StartAttempt(1, attempt, newRequest(requestID), time.Minute)
+	p.transports[0].handler.DialCompleted(nil)
+	p.transports[0].handler.Data(encodeWithWrongLength(response, fieldsElement, swallowed))
+	if len(p.recorder.outcomes[attempt]) > 0 || !p.transports[0].Closed {
+		t.Errorf("outcomes %v, served with %q", p.recorder.outcomes[attempt], p.recorder.results[attempt].Body)
+	}
+}
+
 // bodyTokens are the parts of drawn bodies: what RESP gives a meaning to, and other bytes. The type of an array is not
 // among them, because a body that holds the start of a response can't be told from a response.
 var bodyTokens = rapid.SampledFrom([]string{"\r\n", "\r", "\n", "$", "3", "$3\r\n", "HIT", "-", "a", "\x00", "\xff"})
@@ -234,15 +249,16 @@
 func TestResponseBeforeAnotherIsServed(t *testing.T) {
 	const other = "00000000000000ff"
 	for name, behind := range map[string]string{
-		"nothing":                         "",
-		"a second copy":                   string(encodeResponse(requestID, "HIT", "result")),
-		"an unknown id":                   string(encodeResponse("ahead", "HIT", "x")),
-		"the next response":               string(encodeResponse(other, "HIT", "x")),
-		"the start of the next":           string(encodeResponse(other, "HIT", "x")[:7]),
-		"a spoilt response":               "*3\r\n$16\r\n" + other + "\r\n$3\r\nHIT\r\n$1\r\n-\r\n$1\r\nx\r\n",
-		"a copy, then a spoilt one":       string(encodeResponse(requestID, "HIT", "result")) + "*5\r\n$16\r\n" + other + "\r\n",
-		"a response that claims 3 GB":     "*4\r\n$16\r\n" + other + "\r\n$3\r\nHIT\r\n$3221225472\r\n",
-		"a response with an unknown word": "*4\r\n$16\r\n" + other + "\r\n$3\r\nHAT\r\n",
+		"nothing":                          "",
+		"a second copy":                    string(encodeResponse(requestID, "HIT", "result")),
+		"an unknown id":                    string(encodeResponse("ahead", "HIT", "x")),
+		"the next response":                string(encodeResponse(other, "HIT", "x")),
+		"the start of the next":            string(encodeResponse(other, "HIT", "x")[:7]),
+		"a spoilt response":                "*3\r\n$16\r\n" + other + "\r\n$3\r\nHIT\r\n$1\r\n-\r\n$1\r\nx\r\n",
+		"a copy, then a spoilt one":        string(encodeResponse(requestID, "HIT", "result")) + "*5\r\n$16\r\n" + other + "\r\n",
+		"a response that claims 3 GB":      "*4\r\n$16\r\n" + other + "\r\n$3\r\nHIT\r\n$3221225472\r\n",
+		"a response with an unknown word":  "*4\r\n$16\r\n" + other + "\r\n$3\r\nHAT\r\n",
+		"a response with malformed fields": "*4\r\n$16\r\n" + other + "\r\n$3\r\nHIT\r\n$4\r\n-\r\n$\r\n",
 	} {
 		p := newTestPool()
 		p.StartAttempt(1, attempt, newRequest(requestID), time.Minute)
--- a/internal/workerclient/violation.go
+++ b/internal/workerclient/violation.go
@@ -9,6 +9,7 @@
 	InvalidLength                          // a length is not a number, or over its limit
 	MissingLineEnd                         // an element does not end where its length says
 	UnexpectedArrayLength                  // the array has another number of elements than a response
+	InvalidFields                          // the fields hold a line end
 	UnknownStatus                          // the status is none of the protocol's
 	MismatchedStatus                       // the status does not belong to the response to such a command
 	UnsolicitedResponse                    // the command was not written yet
@@ -22,6 +23,7 @@
 	InvalidLength:         "invalid length",
 	MissingLineEnd:        "missing line end",
 	UnexpectedArrayLength: "unexpected array length",
+	InvalidFields:         "invalid fields",
 	UnknownStatus:         "unknown status",
 	MismatchedStatus:      "mismatched status",
 	UnsolicitedResponse:   "unsolicited response",
