Read the response to a recovery dial as on any other connection

Seen: nothing that callers were told. An address that worked again stayed unused if the response to its NOOP arrived in two reads, and one whose response could not be read, or was a HIT, counted as working.

Cause: recoveryDial.Data decoded each read for itself, and compared the id of a response but not its status. A malformed response left it waiting until its time was over.

Why the fix works: the dial reassembles reads as connections do, takes PONG or SICK under its id and nothing else, and fails at once on a response that violates the protocol.

--- a/internal/workerclient/recovery.go
+++ b/internal/workerclient/recovery.go
@@ -17,6 +17,7 @@
 	worker    *worker
 	addr      endpoint.Addr
 	transport Transport
+	responses responseReader
 	startedAt time.Duration
 	completed bool
 }
@@ -101,12 +102,31 @@
 	}
 }
 
-// Data handles the response to the NOOP.
+// Data handles the response to the NOOP, which may arrive in parts.
 func (r *recoveryDial) Data(data []byte) {
-	response, size, err := decodeResponse(data)
-	if err == nil && size > 0 && string(response.id) == recoveryPingID {
+	if r.completed {
+		return
+	}
+	err := r.responses.feed(r.pool.now, data, r.decode)
+	if err != nil {
+		r.complete(err)
+	}
+}
+
+// decode is the framing.Decoder of responses. Responses to other commands than the NOOP are ignored.
+func (r *recoveryDial) decode(unread []byte) (size int, err error) {
+	response, size, err := decodeResponse(unread)
+	isPingResponse := err == nil && size > 0 && string(response.id) == recoveryPingID
+	if isPingResponse && !response.status.respondsToHealthQuery() {
+		err = MismatchedStatus
+	}
+	if err != nil {
+		return 0, r.pool.recordMalformedResponse(err, unread)
+	}
+	if isPingResponse {
 		r.complete(nil)
 	}
+	return size, nil
 }
 
 // Closed handles the end of the connection.
--- a/internal/workerclient/response_length_test.go
+++ b/internal/workerclient/response_length_test.go
@@ -136,6 +136,37 @@
 	}
 }
 
+// Guards against a recovery dial that takes an address for one that works after a response that can't be read, or that
+// needs its response in one read.
+func TestRecoveryDialReadsItsResponseAsOtherConnections(t *testing.T) {
+	response := [responseElements]string{recoveryPingID, "PONG", "-", ""}
+	whole := encodeWithWrongLength(response, bodyElement, 0)
+	for cut := range whole {
+		transport := openRecoveryDial(t)
+		worker := transport.handler.(*recoveryDial).worker
+		transport.handler.Data(whole[:cut])
+		transport.handler.Data(whole[cut:])
+		if worker.addresses.UnavailableCount() != 0 || !transport.Closed {
+			t.Errorf("response cut after %d bytes: the address is still unavailable", cut)
+		}
+	}
+	forEachWrongLength(func(wrong, delta int) {
+		spoilt := encodeWithWrongLength(response, wrong, delta)
+		transport := openRecoveryDial(t)
+		worker := transport.handler.(*recoveryDial).worker
+		transport.handler.Data(spoilt)
+		if worker.addresses.UnavailableCount() != 1 {
+			t.Errorf("%q: the address counts as one that works", spoilt)
+		}
+	})
+	transport := openRecoveryDial(t)
+	worker := transport.handler.(*recoveryDial).worker
+	transport.handler.Data(encodeResponse(recoveryPingID, "HIT", ""))
+	if worker.addresses.UnavailableCount() != 1 || !transport.Closed {
+		t.Error("a HIT in response to a NOOP shows that the address works")
+	}
+}
+
 // bodyTokens are the parts of drawn bodies: what RESP gives a meaning to, and other bytes. The type of an array is not
 // among them, because a body that holds the start of a response can't be told from a response.
 var bodyTokens = rapid.SampledFrom([]string{"\r\n", "\r", "\n", "$", "3", "$3\r\n", "HIT", "-", "a", "\x00", "\xff"})
