Close a client's connection on bytes behind the arguments of a message

An execute whose map claims one entry too few, or whose body claims too few bytes and goes on with a zero byte, was forwarded with an empty or shortened body that its client had not sent, ran, and was answered served.

Cause: what stands behind the struct of the arguments was ignored. Behind a map that ends early stands the length of its next key, whose first byte, zero, ends the struct; the body behind it was never reached and read as empty.

Why the fix works: the arguments are the rest of their message, whose length the frame gives. If bytes are left, some length does not fit, and the message is malformed like any other that can't be read.

--- a/internal/thrift/connection.go
+++ b/internal/thrift/connection.go
@@ -177,7 +177,7 @@
 // handleInterrupt cancels the request whose sequence number the message contains, if it is open.
 func (c *connection) handleInterrupt(d *decoder) error {
 	var sequence uint32
-	err := d.structFields(func(wireType byte, id uint16) bool {
+	err := d.arguments(func(wireType byte, id uint16) bool {
 		if id != interruptSequence || wireType != wireI32 {
 			return false
 		}
@@ -196,7 +196,7 @@
 // handleCheck replies whether the router is ready. Arguments are ignored.
 func (c *connection) handleCheck(d *decoder, sequence uint32) error {
 	skipField := func(byte, uint16) bool { return false }
-	if err := d.structFields(skipField); err != nil {
+	if err := d.arguments(skipField); err != nil {
 		return err
 	}
 	head, tail := encodeAnswer(methodCheck, sequence, answer{ok: c.front.ready()})
--- a/internal/thrift/decoder.go
+++ b/internal/thrift/decoder.go
@@ -144,13 +144,14 @@
 	return messageHeader{kind: messageKind(versionAndKind), name: string(name), sequence: sequence}, nil
 }
 
-// structFields decodes a struct. It calls visit for each field. visit consumes the value and returns true, or returns
-// false to have the value skipped.
-func (d *decoder) structFields(visit func(wireType byte, id uint16) bool) error {
+// arguments decodes the struct of a method's arguments, which is the rest of the message. It calls visit for each
+// field. visit consumes the value and returns true, or returns false to have the value skipped. Bytes behind the struct
+// are malformed: a length that is too small may have ended the struct early, and the fields behind it would be lost.
+func (d *decoder) arguments(visit func(wireType byte, id uint16) bool) error {
 	for !d.malformed {
 		wireType := d.uint8()
 		if wireType == wireStop && !d.malformed {
-			return nil
+			return d.end()
 		}
 		if id := d.uint16(); !visit(wireType, id) {
 			d.skip(wireType, 1)
@@ -159,6 +160,14 @@
 	return errMalformedMessage
 }
 
+// end returns an error unless the whole message has been decoded.
+func (d *decoder) end() error {
+	if len(d.remaining) > 0 {
+		return errMalformedMessage
+	}
+	return nil
+}
+
 // stringMap decodes a map of strings. The values are slices of the message.
 func (d *decoder) stringMap() map[string][]byte {
 	keyType := d.uint8()
--- a/internal/thrift/request.go
+++ b/internal/thrift/request.go
@@ -46,7 +46,7 @@
 
 // executeArguments decodes the arguments of execute.
 func (d *decoder) executeArguments() (fields executeFieldMap, body []byte, err error) {
-	err = d.structFields(func(wireType byte, id uint16) bool {
+	err = d.arguments(func(wireType byte, id uint16) bool {
 		switch {
 		case id == executeFields && wireType == wireMap:
 			fields = d.stringMap()
--- a/internal/thrift/testconnection_test.go
+++ b/internal/thrift/testconnection_test.go
@@ -64,7 +64,7 @@
 	header, err := d.messageHeader()
 	field = 99
 	if err == nil && header.kind == messageReply {
-		err = d.structFields(func(typ byte, id uint16) bool { field = id; return false })
+		err = d.arguments(func(typ byte, id uint16) bool { field = id; return false })
 	}
 	if err != nil {
 		t.Fatalf("wrote %x: %v", b, err)
