Take a response of discovery with data behind its last record for invalid

A response that counts fewer records than it holds became the endpoint list, without the kind, cell and start of a worker, or its address.

Cause: the parser read as many records as were counted and did not look behind them.

Evidence: on the code before, TestResponseWithTooFewRecordsCountedIsInvalid got a list for seven of eight counts that are too small in a response with two workers (the eighth counts the questions).

Why the fix works: a response is one datagram, so what stands behind its last record was counted by nobody. The list in force stays, as for any response that can't be read.

--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -66,6 +66,7 @@
 	errTruncated     = errors.New("response is truncated")
 	errOtherQuestion = errors.New("response to another question")
 	errNoSerial      = errors.New("response has no serial number")
+	errTrailingData  = errors.New("response has data behind its last record")
 )
 
 // responseCodeError is a response code other than 0 (RFC 1035, section 4.1.1).
--- a/internal/discovery/parser.go
+++ b/internal/discovery/parser.go
@@ -40,7 +40,7 @@
 func (p *parser) uint16At(offset int) uint16 { return binary.BigEndian.Uint16(p.message[offset:]) }
 
 // parse parses the whole message: the header, the questions, and the records. It does not distinguish the sections of
-// records.
+// records. Bytes behind the last record are an error: a count of records is too small, and the list would lack some.
 func (p *parser) parse() error {
 	if err := p.checkHeader(); err != nil {
 		return err
@@ -59,6 +59,9 @@
 			return err
 		}
 	}
+	if p.offset < len(p.message) {
+		return &ParseError{Offset: p.offset, Err: errTrailingData}
+	}
 	if !p.hasSerial {
 		return &ParseError{Offset: p.offset, Err: errNoSerial}
 	}
--- a/internal/discovery/parser_test.go
+++ b/internal/discovery/parser_test.go
@@ -66,3 +66,20 @@
 	message[offset] = value
 	return message
 }
+
+// Guards against a list that lacks a worker, or says nothing of its kind, cell and start, because a response counts fewer
+// records than it has.
+func TestResponseWithTooFewRecordsCountedIsInvalid(t *testing.T) {
+	whole := func() []byte { return responseTo(1, 9, 0, 1) }
+	for _, section := range []int{questionsOffset, answersOffset, authorityOffset, additionalOffset} {
+		count := whole()[section+1]
+		for fewer := byte(1); fewer <= count; fewer++ {
+			if _, r, err := parseResponse(withByte(whole(), section+1, count-fewer)); err == nil {
+				t.Errorf("count at %d is %d too small: read %d workers, %d texts", section, fewer, len(r.services), len(r.texts))
+			}
+		}
+	}
+	if _, _, err := parseResponse(whole()); err != nil {
+		t.Error(err)
+	}
+}
