--- a/internal/workerclient/doc.go
+++ b/internal/workerclient/doc.go
@@ -10,7 +10,8 @@
 //
 // A connection has a part for each concern: a dialer, the outgoingStream that it writes to, a responseReader, a
 // commandQueue of the commands in flight, and a livenessMonitor. Each kind of command implements commandKind and holds
-// its own data. The codec is in resp.go (arrays of bulk strings), command_encoding.go and response_decoding.go.
+// its own data. The codec is in resp.go (arrays of bulk strings), command_encoding.go, response_decoding.go and
+// response_fields.go.
 //
 // Package endpoint decides which address of a worker is dialed, and package eventloop provides the sockets.
 //
@@ -20,6 +21,10 @@
 // followed by an id and fields; a response is the id of its command, a status, fields and a body. Responses may arrive
 // in any order.
 //
+// Every response has all four elements. It is used only if nothing has arrived behind it, or the start of another
+// response: a body may hold line ends, so one whose length is too small can look whole. Any data that violates the
+// protocol closes its connection, and the commands in flight there count as ones that may have run.
+//
 // # What the end of a connection proves
 //
 // A worker acts on a command only once it has arrived whole. A command whose last byte never left this program
