Name the golden responses of workers in the terms of the protocol

Labels alone: elements and statuses in place of words, requests in place of calls, recovery dials in place of trials. The response of two elements to a recovery dial, which no test had read since, stands among the malformed ones.

--- a/internal/server/broken_connections_test.go
+++ b/internal/server/broken_connections_test.go
@@ -178,7 +178,7 @@
 		{"a response whose array is one element too short", 0, func(c *net.TCPConn, id string) { fmt.Fprint(c, strings.Replace(servedResponse(id), "*4", "*3", 1)) }, false},
 		{"a response whose array is two elements too short", 0, func(c *net.TCPConn, id string) { fmt.Fprint(c, strings.Replace(servedResponse(id), "*4", "*2", 1)) }, false},
 		{"a response whose array is one element too long", 0, func(c *net.TCPConn, id string) { fmt.Fprint(c, strings.Replace(servedResponse(id), "*4", "*5", 1)) }, false},
-		{"a response with an unknown word", 0, func(c *net.TCPConn, id string) { fmt.Fprint(c, strings.Replace(servedResponse(id), "HIT", "HAT", 1)) }, false},
+		{"a response with an unknown status", 0, func(c *net.TCPConn, id string) { fmt.Fprint(c, strings.Replace(servedResponse(id), "HIT", "HAT", 1)) }, false},
 	}
 	for _, at := range []int{0, 1, 4, 20, responseSize / 2, responseSize - 3, responseSize - 1} {
 		faults = append(faults, fault{fmt.Sprintf("%d bytes of a response, then a close", at), 0, respondPartly(at, closeConn), false},
--- a/internal/workerclient/golden_test.go
+++ b/internal/workerclient/golden_test.go
@@ -103,7 +103,7 @@
 	}
 	messages = append(messages,
 		golden.Message{Label: "INFO sent again after a reset", Bytes: healthCheckAfterReset()},
-		golden.Message{Label: "NOOP of a trial", Bytes: openRecoveryDial(t).Written.Bytes()})
+		golden.Message{Label: "NOOP of a recovery dial", Bytes: openRecoveryDial(t).Written.Bytes()})
 	golden.CompareMessages(t, goldenMessages, messages)
 }
 
@@ -222,7 +222,7 @@
 
 // The response to a NOOP shows that its connection works, and completes no other command on it.
 func TestGoldenResponsesToKeepalivePings(t *testing.T) {
-	for _, label := range []string{"NOOP answered by PONG of four words", "NOOP answered by SICK of four words"} {
+	for _, label := range []string{"NOOP answered by PONG", "NOOP answered by SICK"} {
 		p, record := newGoldenPool()
 		p.StartAttempt(1, attempt, newRequest(requestID), time.Second)
 		connection := p.transports[0]
@@ -241,7 +241,7 @@
 	connection := openRecoveryDial(t)
 	worker := connection.handler.(*recoveryDial).worker
 	unavailable := worker.addresses.UnavailableCount()
-	connection.handler.Data(golden.FindMessage(t, goldenResponses, "NOOP of a trial answered by PONG of four words"))
+	connection.handler.Data(golden.FindMessage(t, goldenResponses, "NOOP of a recovery dial answered by PONG"))
 	if unavailable != 1 || worker.addresses.UnavailableCount() != 0 || !connection.Closed {
 		t.Errorf("recovery dial: %d addresses unavailable before, %d after, closed %v", unavailable, worker.addresses.UnavailableCount(), connection.Closed)
 	}
@@ -254,26 +254,27 @@
 		label      string
 		violations []Violation // none if the connection stays open
 	}{
-		{"answer to an unknown id", nil},
-		{"answer in lower case", []Violation{UnknownStatus}},
-		{"unknown word", []Violation{UnknownStatus}},
-		{"PONG to a call", []Violation{MismatchedStatus}},
-		{"SICK to a call", []Violation{MismatchedStatus}},
+		{"response to an unknown id", nil},
+		{"status in lower case", []Violation{UnknownStatus}},
+		{"unknown status", []Violation{UnknownStatus}},
+		{"PONG to a request", []Violation{MismatchedStatus}},
+		{"SICK to a request", []Violation{MismatchedStatus}},
 		{"INFO answered by PONG", nil}, // no health check is in flight here
-		{"answer of one word", []Violation{UnexpectedArrayLength}},
-		{"answer of no word", []Violation{UnexpectedArrayLength}},
-		{"answer of nine words", []Violation{UnexpectedArrayLength}},
-		{"answer without its mark", []Violation{UnexpectedType}},
+		{"response of one element", []Violation{UnexpectedArrayLength}},
+		{"response of no element", []Violation{UnexpectedArrayLength}},
+		{"response of nine elements", []Violation{UnexpectedArrayLength}},
+		{"response without its type", []Violation{UnexpectedType}},
 		{"length that is no number", []Violation{InvalidLength}},
 		{"negative length", []Violation{InvalidLength}},
 		{"line without a carriage return", []Violation{InvalidLength}},
 		{"HIT without a body", []Violation{UnexpectedArrayLength}},
-		{"HIT of two words", []Violation{UnexpectedArrayLength}},
-		{"INFO answered by PONG of two words", []Violation{UnexpectedArrayLength}},
-		{"NOOP answered by PONG", []Violation{UnexpectedArrayLength}}, // of two words
-		{"NOOP answered by SICK", []Violation{UnexpectedArrayLength}},
-		{"answer of five words", []Violation{UnexpectedArrayLength}},
-		{"word that is longer than its length", []Violation{UnexpectedArrayLength}}, // of two words too
+		{"HIT of two elements", []Violation{UnexpectedArrayLength}},
+		{"INFO answered by PONG of two elements", []Violation{UnexpectedArrayLength}},
+		{"NOOP answered by PONG of two elements", []Violation{UnexpectedArrayLength}},
+		{"NOOP answered by SICK of two elements", []Violation{UnexpectedArrayLength}},
+		{"NOOP of a recovery dial answered by PONG of two elements", []Violation{UnexpectedArrayLength}},
+		{"response of five elements", []Violation{UnexpectedArrayLength}},
+		{"id that is longer than its length, of two elements", []Violation{UnexpectedArrayLength}},
 		{"id that is longer than its length", []Violation{MissingLineEnd}},
 		{"HIT with a line end in its fields", []Violation{InvalidFields}},
 		{"HIT, then a line", []Violation{TrailingData}},
--- a/internal/workerclient/response_length_test.go
+++ b/internal/workerclient/response_length_test.go
@@ -168,16 +168,16 @@
 func TestResponseBeforeAnotherIsServed(t *testing.T) {
 	const other = "00000000000000ff"
 	for name, behind := range map[string]string{
-		"nothing":                          "",
-		"a second copy":                    string(encodeResponse(requestID, "HIT", "result")),
-		"an unknown id":                    string(encodeResponse("ahead", "HIT", "x")),
-		"the next response":                string(encodeResponse(other, "HIT", "x")),
-		"the start of the next":            string(encodeResponse(other, "HIT", "x")[:7]),
-		"a spoilt response":                "*3\r\n$16\r\n" + other + "\r\n$3\r\nHIT\r\n$1\r\n-\r\n$1\r\nx\r\n",
-		"a copy, then a spoilt one":        string(encodeResponse(requestID, "HIT", "result")) + "*5\r\n$16\r\n" + other + "\r\n",
-		"a response that claims 3 GB":      "*4\r\n$16\r\n" + other + "\r\n$3\r\nHIT\r\n$3221225472\r\n",
-		"a response with an unknown word":  "*4\r\n$16\r\n" + other + "\r\n$3\r\nHAT\r\n",
-		"a response with malformed fields": "*4\r\n$16\r\n" + other + "\r\n$3\r\nHIT\r\n$4\r\n-\r\n$\r\n",
+		"nothing":                           "",
+		"a second copy":                     string(encodeResponse(requestID, "HIT", "result")),
+		"an unknown id":                     string(encodeResponse("ahead", "HIT", "x")),
+		"the next response":                 string(encodeResponse(other, "HIT", "x")),
+		"the start of the next":             string(encodeResponse(other, "HIT", "x")[:7]),
+		"a spoilt response":                 "*3\r\n$16\r\n" + other + "\r\n$3\r\nHIT\r\n$1\r\n-\r\n$1\r\nx\r\n",
+		"a copy, then a spoilt one":         string(encodeResponse(requestID, "HIT", "result")) + "*5\r\n$16\r\n" + other + "\r\n",
+		"a response that claims 3 GB":       "*4\r\n$16\r\n" + other + "\r\n$3\r\nHIT\r\n$3221225472\r\n",
+		"a response with an unknown status": "*4\r\n$16\r\n" + other + "\r\n$3\r\nHAT\r\n",
+		"a response with malformed fields":  "*4\r\n$16\r\n" + other + "\r\n$3\r\nHIT\r\n$4\r\n-\r\n$\r\n",
 	} {
 		p := newTestPool()
 		p.StartAttempt(1, attempt, newRequest(requestID), time.Minute)
