--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -9,4 +9,4 @@
 mkdir -p bin
 out=$(pwd)/bin/case
 cd "$work"
-GOWORK=off GOFLAGS=-mod=mod go build -o "$out" .
+GOWORK=off GOFLAGS=-mod=mod GOPROXY=off GOTOOLCHAIN=local CGO_ENABLED=0 go build -o "$out" .
