Log turns of the event loop that are too long, with what ran in them

Cause: longest_turn_us tells that the loop stood still, on SIGUSR1 only, and nothing told what held it.

Change: the loop reads the clock at the end of each part of a turn, and logs turn_was_long for a turn of 50 ms or more (what the protocol allows on sockets beyond a time limit), at most once a second, with the parts that took nine tenths of it. A posted call can have a name.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -35,6 +35,7 @@
 
 	// Owned by the goroutine that calls Run.
 	turnTimes
+	profile  turnProfile
 	clients  *acceptedClients
 	flushes  flushList
 	counters Counters
@@ -64,6 +65,7 @@
 		read:        readSocket,
 		unread:      &unreadTotal{max: int64(cfg.MaxUnreadBytes)},
 		turnTimes:   turnTimes{now: started, arrivedAt: started},
+		profile:     turnProfile{clock: clock.now, logger: logger},
 		clients:     newAcceptedClients(logger),
 	}
 	l.idleCloser = &idleCloser{queue: queue, closeIdle: l.closeIdleClient, loopClosed: ctx}
@@ -105,7 +107,16 @@
 
 // Post runs call on the loop's goroutine. It returns at once, and any goroutine may call it. After the loop is closed,
 // calls are dropped.
-func (l *Loop) Post(call func()) { l.queue.push(event{kind: callPosted, call: call}) }
+func (l *Loop) Post(call func()) { l.PostNamed(postedPart, call) }
+
+// PostNamed is Post for a call that the log names if it makes a turn too long.
+func (l *Loop) PostNamed(name string, call func()) {
+	l.queue.push(event{kind: callPosted, call: call, name: name})
+}
+
+// PartEnded says that a part of the turn has ended, which began when the part before it ended. If the turn turns out
+// too long, the log says how long its parts took.
+func (l *Loop) PartEnded(name string) { l.profile.end(name) }
 
 // Dial opens a connection and returns at once. The handler's DialCompleted receives the result within timeout, or
 // shortly after it.
@@ -132,17 +143,21 @@
 		l.stall.recordTurn(l.now, now)
 		l.now = now
 		l.arrivedAt = now
+		l.profile.begin(now)
 		startTurn(now)
 		l.dispatch(batch)
 		spare = batch
 		next := turn(now)
 		l.flushes.flush()
+		l.profile.end(writePart)
 		l.clients.endTurn(now)
+		l.profile.end(clientsPart)
 		if !l.flushes.isEmpty() {
 			next = min(next, now+stalledRetryDelay)
 		}
 		end := l.clock.now()
 		l.counters.countTurn(end - now)
+		l.profile.endTurn(now, end)
 		timer.Reset(max(min(next, now+maxTurnInterval)-end, 0))
 	}
 }
@@ -174,6 +189,7 @@
 func (l *Loop) dispatch(batch []event) {
 	for i := range batch {
 		e := &batch[i]
+		kind, name := e.kind, e.name
 		switch e.kind {
 		case callPosted:
 			e.call()
@@ -189,6 +205,11 @@
 			l.connectionClosed(e.conn, e.err)
 		}
 		*e = event{}
+		if kind == callPosted {
+			l.profile.end(name)
+		} else if i+1 == len(batch) || batch[i+1].kind != kind {
+			l.profile.end(partNames[kind])
+		}
 	}
 }
 
--- a/internal/eventloop/queue.go
+++ b/internal/eventloop/queue.go
@@ -18,7 +18,7 @@
 	connectionAccepted                  // conn
 	connectionClosed                    // conn, err
 	dialCompleted                       // conn, and either socket or err
-	callPosted                          // call
+	callPosted                          // call, name
 )
 
 // event tells the loop what the poller, a dial or another goroutine did. It is one struct for all kinds rather than an
@@ -30,6 +30,7 @@
 	err    error
 	socket *nbio.Conn
 	call   func()
+	name   string
 	at     time.Duration // of dataReceived: when the data was read
 }
 
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -60,7 +60,7 @@
 	if result.configErr == nil {
 		result.routes, result.routesErr = r.readRoutes()
 	}
-	r.loop.Post(func() { r.apply(result) })
+	r.loop.PostNamed("reload", func() { r.apply(result) })
 }
 
 // rereadConfig reads the configuration. If no descriptor is left for the file, it closes connections of idle clients to
--- a/internal/server/server.go
+++ b/internal/server/server.go
@@ -135,11 +135,14 @@
 // called again. The order matters: the core's decisions are sent before discovery is polled.
 func (s *Server) endTurn(now time.Duration) time.Duration {
 	next := s.core.Process(now)
+	s.loop.PartEnded("core")
 	next = min(next, s.discovery.Tick(now))
 	next = min(next, s.integrations.tick(now))
+	s.loop.PartEnded("ticks")
 	if now-s.lastMaintenance >= workerclient.MaintenanceInterval {
 		s.lastMaintenance = now
 		s.workers.Maintain(now)
+		s.loop.PartEnded("maintenance")
 	}
 	s.integrations.sweep(now)
 	if s.lifecycle.isDraining() {
--- a/internal/server/shutdown.go
+++ b/internal/server/shutdown.go
@@ -17,12 +17,12 @@
 	for {
 		select {
 		case received := <-s.options.Signals.Stop:
-			s.loop.Post(func() { s.Drain(received) })
+			s.loop.PostNamed("drain", func() { s.Drain(received) })
 		case <-s.options.Signals.Report:
-			s.loop.Post(s.logCounters)
+			s.loop.PostNamed("report", s.logCounters)
 		case <-stop:
 			stop = nil // a closed channel is always ready
-			s.loop.Post(func() { s.Drain(syscall.SIGTERM) })
+			s.loop.PostNamed("drain", func() { s.Drain(syscall.SIGTERM) })
 		case <-s.closed:
 			return
 		}
