Compare routes beside the event loop, by work that grows with the routes

Cause: route.Diff, whose result is only logged, ran on the loop, looked at each combination of function, tenant, class and front, and held them all. Evidence: turn_was_long turn_us=7875716 ran="reload 7.875703s".

Change: the effects of a pattern's requests are columns with the tenants that differ, shared by patterns and stored once; boxes come from distinct rows. Table.UnmatchedRegions, which the check of each reload runs, had the same product. A comparison stops at a limit and says so. A reload works on its own goroutine and only swaps on the loop. Pools are matched by maps, workers of pools are found by an index, circles of pools by one walk, workers are logged when they change, and log lines are bounded. Routes that would take more memory than the router has are refused.

Why it works: nothing on the loop grows with functions times tenants, and what runs beside it on the same core costs what the files cost.

TestRegionsEqualThoseOfTheReference compares with the earlier algorithm, kept as a reference: 20,000 drawn specs, equal to the letter. The test of coverPoints stays with that reference.

--- a/internal/command/explain.go
+++ b/internal/command/explain.go
@@ -35,7 +35,7 @@
 	if err != nil {
 		return err
 	}
-	table, err := route.Compile(&r.Spec, r.Classes())
+	table, err := r.Compile(r.Classes())
 	if err != nil {
 		return err
 	}
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -17,6 +17,9 @@
 	// referenceMemoryMB is the lowest memory limit at which ScaleToMemory returns bounds unchanged.
 	referenceMemoryMB = 192
 
+	// programMB is about the memory that a router takes before it has routes or requests.
+	programMB = 16
+
 	// requestsPerMB is the number of requests that may be open for each MB of the memory limit. At 2 KiB for each
 	// request, without its body, they take a sixteenth of the memory.
 	requestsPerMB = 32
@@ -42,6 +45,13 @@
 	return bytes * min(c.Limits.MemoryMB, referenceMemoryMB) / referenceMemoryMB
 }
 
+// shareOfMemory scales a bound in bytes, which is meant for a memory limit of referenceMemoryMB, to the actual limit.
+// The program's own memory is left out of both limits.
+func (c *Config) shareOfMemory(bytes int) int {
+	available := max(c.Limits.MemoryMB-programMB, 1)
+	return int(int64(bytes) * int64(available) / (referenceMemoryMB - programMB))
+}
+
 // MaxConcurrentRequests returns the limit on requests that are open at the same time.
 func (c *Config) MaxConcurrentRequests() int {
 	return min(c.Network.Limits.MaxOpenRequests, c.Limits.MemoryMB*requestsPerMB)
--- a/internal/config/routing.go
+++ b/internal/config/routing.go
@@ -2,6 +2,13 @@
 
 import "crankhold/internal/lang"
 
+// Limits on the routes at a memory limit of referenceMemoryMB, in bytes. While they are replaced, two tables and what a
+// file is parsed into are in memory at once.
+const (
+	maxRoutesFileBytes  = 2 << 20
+	maxRoutesTableBytes = 16 << 20
+)
+
 // RoutingPlatform returns the platform's settings that routes may not contradict.
 func (c *Config) RoutingPlatform() *lang.Platform {
 	platform := &lang.Platform{
@@ -11,6 +18,8 @@
 		KindMemoryMB:   map[string]float64{},
 		Zones:          c.Network.Zones,
 		LoadWindow:     c.Policy.LoadBudgetWindow,
+		MaxFileBytes:   c.shareOfMemory(maxRoutesFileBytes),
+		MaxTableBytes:  c.shareOfMemory(maxRoutesTableBytes),
 	}
 	notIdempotent := c.NotIdempotent()
 	for i, name := range c.ClassNames() {
--- a/internal/lang/check.go
+++ b/internal/lang/check.go
@@ -13,6 +13,9 @@
 // other errors.
 func Check(fsys fs.FS, name, prefix string, platform *Platform) (*Result, error) {
 	l := newLoader(fsys, prefix, &reporter{})
+	if platform != nil {
+		l.maxBytes = platform.MaxFileBytes
+	}
 	if err := l.load(name, nil); err != nil {
 		return nil, &FileError{File: path.Join(prefix, name), Err: pathErrorReason(err)}
 	}
@@ -50,7 +53,7 @@
 	c.workers = &workerBuilder{builderContext: context}
 	c.classes = &classBuilder{builderContext: context}
 	c.routes = &routeBuilder{builderContext: context, firstFile: l.files[0].Name}
-	c.pools = &poolBuilder{builderContext: context, workers: c.workers}
+	c.pools = &poolBuilder{builderContext: context, workers: c.workers, followed: map[string]bool{}}
 	c.policies = newPolicyBuilder(context, c.linesByBlock)
 	c.builders = map[string]blockBuilder{
 		workerKeyword: c.workers,
@@ -77,7 +80,7 @@
 	r.classes = knownClasses{list: c.classes.declared}
 	if len(c.report.faults) == 0 {
 		r.classes = c.classes.known(c.routes.specs)
-		c.checkTable(&r.Spec, r.classes)
+		r.table = c.checkTable(&r.Spec, r.classes)
 	}
 	c.report.sort()
 	r.Faults = c.report.faults
@@ -122,11 +125,13 @@
 	}
 }
 
-// checkTable compiles the spec and checks it as a whole. The spec must have no faults.
-func (c *checker) checkTable(spec *route.Spec, classes knownClasses) {
+// checkTable compiles the spec and checks it as a whole. The spec must have no faults. It returns nil if the spec can't
+// be compiled.
+func (c *checker) checkTable(spec *route.Spec, classes knownClasses) *route.Table {
 	if c.platform != nil {
 		spec.LoadWindow = c.platform.LoadWindow
+		spec.MaxBytes = c.platform.MaxTableBytes
 	}
 	t := &tableChecker{report: c.report, symbols: c.symbols, policies: c.policies, classes: classes}
-	t.check(spec)
+	return t.check(spec)
 }
--- a/internal/lang/checktable.go
+++ b/internal/lang/checktable.go
@@ -17,21 +17,27 @@
 }
 
 // check compiles the table. It reports ambiguous routes, routes that no request can reach, and policies that conflict
-// with the classes of their requests. It notes requests that no route matches.
-func (t *tableChecker) check(spec *route.Spec) {
+// with the classes of their requests. It notes requests that no route matches. It returns the table, or nil if the spec
+// can't be compiled.
+func (t *tableChecker) check(spec *route.Spec) *route.Table {
 	table, err := route.Compile(spec, t.classes.list.names())
 	if err != nil {
 		t.reportCompileError(err, spec.Routes[0].Name)
-		return
+		return nil
 	}
 	reachable := table.Reachable()
 	for i, r := range table.Routes() {
 		t.checkRoute(r, t.reachingClasses(reachable[i]))
 	}
 	first := t.symbols.find(routeKeyword, table.Routes()[0].Spec.Name)
-	for _, region := range table.UnmatchedRegions(!t.classes.complete) {
+	regions, complete := table.UnmatchedRegions(!t.classes.complete)
+	for _, region := range regions {
 		t.report.note(first, first.pos, "no route takes %v; they are refused (%v)", region, region.Example)
 	}
+	if !complete {
+		t.report.note(first, first.pos, "not all calls that no route takes are listed: there are too many combinations")
+	}
+	return table
 }
 
 // reportCompileError reports an error of route.Compile at the route that it concerns, or at the first route. Errors
@@ -39,8 +45,12 @@
 func (t *tableChecker) reportCompileError(err error, firstRoute string) {
 	name := firstRoute
 	var ambiguous *route.AmbiguousRoutesError
-	if errors.As(err, &ambiguous) {
+	var size *route.TableSizeError
+	switch {
+	case errors.As(err, &ambiguous):
 		name = ambiguous.Second.Name
+	case errors.As(err, &size):
+		name = size.Route
 	}
 	b := t.symbols.find(routeKeyword, name)
 	t.report.fault(b, b.pos, "%v", err)
--- a/internal/lang/load.go
+++ b/internal/lang/load.go
@@ -37,7 +37,9 @@
 	sources          map[string]*syntax.Source // by the file name in messages
 	includeChains    map[string][]string       // by file, the chain of includes that led to it
 	report           *reporter                 // receives syntax faults and include faults
-	fileLimitReached bool                      // maxFiles was reached: no more files are read
+	fileLimitReached bool                      // maxFiles or maxBytes was reached: no more files are read
+	maxBytes         int                       // of all files together; 0: no limit
+	bytesRead        int                       // of all files together
 }
 
 func newLoader(fsys fs.FS, prefix string, report *reporter) *loader {
@@ -59,6 +61,11 @@
 	}
 	chain = append(slices.Clip(chain), name)
 	l.includeChains[name] = chain
+	l.bytesRead += len(text)
+	if l.maxBytes > 0 && l.bytesRead > l.maxBytes {
+		l.reportTooManyBytes(path.Join(l.prefix, name))
+		return nil
+	}
 	file, source, faults := syntax.Parse(path.Join(l.prefix, name), text)
 	l.files = append(l.files, file)
 	l.sources[file.Name] = source
@@ -71,6 +78,17 @@
 	return nil
 }
 
+// reportTooManyBytes reports that the files are too large together, at the file that exceeds the limit.
+func (l *loader) reportTooManyBytes(name string) {
+	l.report.add(syntax.Fault{
+		Pos: syntax.Pos{File: name, Line: 1, Col: 1},
+		Msg: fmt.Sprintf("with this file the routes are larger than %d KB, which is the most for this router's "+
+			"memory; the rest was not read", l.maxBytes>>10),
+	})
+	l.fileLimitReached = true
+	l.files = append(l.files, &syntax.File{Name: name})
+}
+
 // errNotRegularFile is the error for anything but a regular file. Reading a pipe, for example, could block forever.
 var errNotRegularFile = errors.New("it is no regular file")
 
--- a/internal/lang/platform.go
+++ b/internal/lang/platform.go
@@ -12,6 +12,8 @@
 	KindMemoryMB   map[string]float64 // memory of a worker, by its kind
 	Zones          []string           // of workers; empty: unknown
 	LoadWindow     time.Duration
+	MaxFileBytes   int // of all files together; 0: no limit
+	MaxTableBytes  int // see route.Spec.MaxBytes; 0: no limit
 }
 
 // classes returns the platform's classes, in the order of its settings.
--- a/internal/lang/pool.go
+++ b/internal/lang/pool.go
@@ -24,8 +24,9 @@
 // poolBuilder builds pools from pool blocks.
 type poolBuilder struct {
 	builderContext
-	workers *workerBuilder // complete by the time check is called
-	pools   []builtPool    // in the order of the files
+	workers  *workerBuilder  // complete by the time check is called
+	pools    []builtPool     // in the order of the files
+	followed map[string]bool // names of the pools whose fallbacks reportFallbackCycle has followed
 }
 
 // builtPool is a pool and the block that it was built from.
@@ -146,23 +147,38 @@
 	}
 }
 
-// reportFallbackCycle reports a pool whose chain of fallbacks leads back to it. Each cycle is reported once, at the
-// pool whose name comes first in alphabetical order.
+// reportFallbackCycle follows the fallbacks of a pool and reports the cycle that they lead to, if there is one. Each
+// cycle is reported once, at the pool whose name comes first in alphabetical order.
 func (p *poolBuilder) reportFallbackCycle(b *block) {
-	chain := []string{b.name}
-	for pool := b; pool != nil && pool.hasValue(fallbackSetting); {
-		next := pool.value(fallbackSetting).text
-		if next == b.name {
-			if slices.Min(chain) == b.name {
-				cycle := strings.Join(append(chain, next), " > ")
-				p.report.faultAtSetting(b, fallbackSetting, "pools fall back in a circle: %s", cycle)
-			}
-			return
+	var chain []*block
+	indexes := map[string]int{} // indexes in chain, by name
+	for pool := b; pool != nil && pool.hasValue(fallbackSetting) && !p.followed[pool.name]; {
+		if start, ok := indexes[pool.name]; ok {
+			p.reportCycle(chain[start:])
+			break
 		}
-		if slices.Contains(chain, next) {
-			return // the pool leads to a cycle but is not part of it
+		indexes[pool.name] = len(chain)
+		chain = append(chain, pool)
+		pool = p.symbols.find(poolKeyword, pool.value(fallbackSetting).text)
+	}
+	for name := range indexes {
+		p.followed[name] = true
+	}
+}
+
+// reportCycle reports a cycle of pools, each of which falls back to the next one.
+func (p *poolBuilder) reportCycle(cycle []*block) {
+	first := 0
+	for i, pool := range cycle {
+		if pool.name < cycle[first].name {
+			first = i
 		}
-		chain = append(chain, next)
-		pool = p.symbols.find(poolKeyword, next)
 	}
+	var names []string
+	for _, pool := range slices.Concat(cycle[first:], cycle[:first]) {
+		names = append(names, pool.name)
+	}
+	names = append(names, cycle[first].name)
+	p.report.faultAtSetting(cycle[first], fallbackSetting,
+		"pools fall back in a circle: %s", strings.Join(names, " > "))
 }
--- a/internal/lang/result.go
+++ b/internal/lang/result.go
@@ -16,6 +16,7 @@
 
 	linesByBlock definitionLines
 	classes      knownClasses
+	table        *route.Table // compiled by the check for Classes; nil if there are faults
 }
 
 // Classes returns the names of the classes that the configuration can distinguish.
@@ -24,6 +25,15 @@
 // ClassesComplete reports whether no classes exist beyond those that Classes returns.
 func (r *Result) ClassesComplete() bool { return r.classes.complete }
 
+// Compile compiles the configuration, which must have no faults, for requests of these classes. It returns the table of
+// the check if that is for the same classes.
+func (r *Result) Compile(classes []string) (*route.Table, error) {
+	if r.table != nil && slices.Equal(classes, r.Classes()) {
+		return r.table, nil
+	}
+	return route.Compile(&r.Spec, classes)
+}
+
 // NotIdempotent reports for each of the given classes whether it must never run twice.
 func (r *Result) NotIdempotent(classes []string) []bool {
 	var notIdempotent []bool
@@ -51,11 +61,11 @@
 			classes = append(classes, name)
 		}
 	}
-	oldTable, err := route.Compile(&old.Spec, classes)
+	oldTable, err := old.Compile(classes)
 	if err != nil {
 		return nil, err
 	}
-	newTable, err := route.Compile(&updated.Spec, classes)
+	newTable, err := updated.Compile(classes)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/route/box.go
+++ b/internal/route/box.go
@@ -1,63 +1,116 @@
 package route
 
 import (
-	"fmt"
+	"cmp"
+	"encoding/binary"
 	"slices"
 )
 
-// requestBox is a set of points of a requestSpace: all combinations of one index from the set of each axis.
-type requestBox [axisCount][]int
+// frontSet is a set of fronts, one bit for each.
+type frontSet uint8
 
-// mergeOrder is the order of the axes along which boxes are merged. It determines the wording of regions: classes are
-// merged into one list first, functions last.
-var mergeOrder = [...]axis{classAxis, frontAxis, tenantAxis, patternAxis}
+// The sets of fronts that boxes have.
+const (
+	thriftOnly  frontSet = 1 << Thrift
+	webhookOnly frontSet = 1 << Webhook
+	bothFronts           = thriftOnly | webhookOnly
+)
 
-// coverPoints covers the points with few boxes that don't overlap. Each point starts as its own box.
-func coverPoints(points []requestPoint) []requestBox {
-	boxes := make([]requestBox, len(points))
-	for i, p := range points {
-		for a, index := range p {
-			boxes[i][a] = []int{index}
+// list returns the fronts in order.
+func (s frontSet) list() []Front {
+	var fronts []Front
+	for front := range frontCount {
+		if s&(1<<front) != 0 {
+			fronts = append(fronts, front)
 		}
 	}
-	for _, along := range mergeOrder {
-		boxes = mergeBoxes(boxes, along)
+	return fronts
+}
+
+// requestBox is a set of requests with the same effect: those of all combinations of one of its classes, fronts,
+// tenants and patterns. Its pattern and class lists are not empty.
+type requestBox struct {
+	partKey
+	tenants  tenantIndexSet
+	rows     []int32 // indexes into rowTable.rows
+	patterns []int32 // of these rows, sorted; boxes with the same rows share them
+}
+
+// boxTable merges the boxes of several rows that differ in their patterns alone.
+type boxTable struct {
+	space   *requestSpace
+	boxes   []*requestBox
+	indexes map[boxKey]int // indexes in boxes
+}
+
+// boxKey is equal for boxes that differ in their patterns alone.
+type boxKey struct {
+	partKey
+	tenants string // by tenantIndexSet.key
+}
+
+func newBoxTable(s *requestSpace) *boxTable { return &boxTable{space: s, indexes: map[boxKey]int{}} }
+
+// add adds a box of a row.
+func (t *boxTable) add(b *requestBox, row int32) {
+	t.space.work.add(1 + len(b.tenants.listed))
+	key := boxKey{b.partKey, b.tenants.key()}
+	index, ok := t.indexes[key]
+	if !ok {
+		index = len(t.boxes)
+		t.indexes[key] = index
+		t.boxes = append(t.boxes, b)
 	}
-	return boxes
+	t.boxes[index].rows = append(t.boxes[index].rows, row)
 }
 
-// mergeBoxes merges the boxes that differ along only this axis.
-func mergeBoxes(boxes []requestBox, along axis) []requestBox {
-	var merged []requestBox
-	indexes := map[string]int{} // indexes in merged, by keyWithout
-	for _, b := range boxes {
-		key := b.keyWithout(along)
-		index, ok := indexes[key]
+// withPatterns sets the patterns of all boxes from those of their rows, and returns the boxes.
+func (t *boxTable) withPatterns(rows []row) []*requestBox {
+	byRows := map[string][]int32{}
+	for _, b := range t.boxes {
+		key := encodeIndexes(b.rows)
+		patterns, ok := byRows[key]
 		if !ok {
-			indexes[key] = len(merged)
-			merged = append(merged, b)
-			continue
+			for _, index := range b.rows {
+				patterns = append(patterns, rows[index].patterns...)
+			}
+			slices.Sort(patterns)
+			byRows[key] = patterns
+			t.space.work.add(len(patterns))
 		}
-		merged[index][along] = append(merged[index][along], b[along]...)
+		b.patterns = patterns
 	}
-	for _, b := range merged {
-		slices.Sort(b[along])
-	}
-	return merged
+	return t.boxes
 }
 
-// keyWithout returns text that is equal for boxes that differ along only this axis.
-func (b requestBox) keyWithout(along axis) string {
-	b[along] = nil
-	return fmt.Sprint(b)
+// encodeIndexes returns a text that is equal for equal lists.
+func encodeIndexes(list []int32) string {
+	b := make([]byte, 0, 4*len(list))
+	for _, index := range list {
+		b = binary.BigEndian.AppendUint32(b, uint32(index))
+	}
+	return string(b)
 }
 
-// examplePoint returns the first point of a box, without a tenant if the box has such a point.
-func (b requestBox) examplePoint() requestPoint {
-	var point requestPoint
-	for a, indexes := range b {
-		point[a] = indexes[0]
+// classList returns the indexes of a box's classes in ascending order.
+func (b *requestBox) classList() []int {
+	var classes []int
+	for rest := []byte(b.classes); len(rest) > 0; rest = rest[4:] {
+		classes = append(classes, int(binary.BigEndian.Uint32(rest)))
 	}
-	point[tenantAxis] = slices.Max(b[tenantAxis]) // the last index is for requests without a named tenant
-	return point
+	return classes
 }
+
+// compareFirst orders boxes by their first requests, in the order of pattern, tenant, class and front. Requests without
+// a named tenant come first, and then the tenants in descending order. total is the number of named tenants.
+func (b *requestBox) compareFirst(other *requestBox, total int) int {
+	return cmp.Or(
+		cmp.Compare(b.patterns[0], other.patterns[0]),
+		-cmp.Compare(b.tenants.last(total), other.tenants.last(total)),
+		cmp.Compare(b.classes[:classBytes], other.classes[:classBytes]),
+		cmp.Compare(b.fronts.list()[0], other.fronts.list()[0]),
+	)
+}
+
+// classBytes is the length of one class in partKey.classes.
+const classBytes = 4
--- a/internal/route/box_test.go
+++ b/internal/route/box_test.go
@@ -46,7 +46,7 @@
 }
 
 // contains reports whether a point is in the box.
-func (b requestBox) contains(p requestPoint) bool {
+func (b referenceBox) contains(p requestPoint) bool {
 	for a, index := range p {
 		if !slices.Contains(b[a], index) {
 			return false
--- a/internal/route/compile.go
+++ b/internal/route/compile.go
@@ -11,9 +11,12 @@
 // one is used: by function first (exact, then the longest prefix), then one that names the tenant, then one that names
 // the class, then one that names the front. The order of the routes in the spec has no effect.
 //
-// The error is an *AmbiguousRoutesError, *DuplicatePoolError, *UndefinedReferenceError, *FallbackCycleError or
-// *LoadShareError.
+// The error is a *TableSizeError, *AmbiguousRoutesError, *DuplicatePoolError, *UndefinedReferenceError,
+// *FallbackCycleError or *LoadShareError.
 func Compile(spec *Spec, classes []string) (*Table, error) {
+	if err := checkSize(spec, classes); err != nil {
+		return nil, err
+	}
 	pools, err := compilePools(spec.Pools, cmp.Or(spec.LoadWindow, defaultLoadWindow))
 	if err != nil {
 		return nil, err
@@ -23,6 +26,7 @@
 		pools:         slices.SortedFunc(maps.Values(pools), comparePoolNames),
 		staticWorkers: map[string]Worker{},
 		matcher:       newMatcher(len(classes)),
+		maxBytes:      spec.MaxBytes,
 	}
 	for _, class := range classes {
 		t.notIdempotent = append(t.notIdempotent, slices.Contains(spec.NotIdempotentClasses, class))
--- a/internal/route/compilepools.go
+++ b/internal/route/compilepools.go
@@ -12,7 +12,7 @@
 		if pools[spec.Name] != nil {
 			return nil, &DuplicatePoolError{Name: spec.Name, At: spec.At}
 		}
-		pools[spec.Name] = &Pool{Spec: spec, poolCounters: newPoolCounters(loadWindow)}
+		pools[spec.Name] = newPool(spec, loadWindow)
 	}
 	if err := distributeLoadBudget(specs, pools, loadWindow); err != nil {
 		return nil, err
@@ -58,13 +58,22 @@
 		}
 		pools[spec.Name].fallback = fallback
 	}
+	return findFallbackCycle(specs, pools)
+}
+
+// findFallbackCycle returns a FallbackCycleError for the first pool whose chain of fallbacks has a cycle.
+func findFallbackCycle(specs []PoolSpec, pools map[string]*Pool) error {
+	ends := map[*Pool]bool{nil: true} // pools whose chains end
 	for _, spec := range specs {
-		length := 0
-		for p := pools[spec.Name].fallback; p != nil; p = p.fallback {
-			length++
-			if length > len(pools) {
+		onChain := map[*Pool]bool{}
+		for p := pools[spec.Name]; !ends[p]; p = p.fallback {
+			if onChain[p] {
 				return &FallbackCycleError{Name: spec.Name, At: spec.At}
 			}
+			onChain[p] = true
+		}
+		for p := range onChain {
+			ends[p] = true
 		}
 	}
 	return nil
--- a/internal/route/describe.go
+++ b/internal/route/describe.go
@@ -2,35 +2,18 @@
 
 import (
 	"fmt"
-	"slices"
 	"strings"
 )
 
 // Describe describes the pool's workers, its limits and its fallback.
 func (p *Pool) Describe() string {
-	text := p.Spec.description()
+	text := p.description
 	if p.fallback != nil {
 		text += ", then pool " + p.fallback.Spec.Name
 	}
 	return text
 }
 
-// fallbackChain describes the pool and all of its fallbacks without their names. Pools with equal chains behave the
-// same.
-func (p *Pool) fallbackChain() string {
-	text := p.Spec.description()
-	for next := p.fallback; next != nil; next = next.fallback {
-		text += " then " + next.Spec.description()
-	}
-	return text
-}
-
-// selects reports whether a worker belongs to the pool.
-func (s PoolSpec) selects(w Worker) bool {
-	matches := func(selector Selector) bool { return selector.Matches(w) }
-	return len(s.Selectors) == 0 || slices.ContainsFunc(s.Selectors, matches)
-}
-
 // description describes the workers and the limits in canonical order, without the names of pools.
 func (s PoolSpec) description() string {
 	var selectors []string
--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -44,35 +44,43 @@
 //
 // # Sets of requests
 //
-// What Diff and UnmatchedRegions report must be true of all requests, and there are too many to match each one. Three
-// steps reduce the work:
-//
-//  1. A requestSpace has one requestPoint for all requests that the compared tables can't tell apart. A point has an
-//     index on each of four axes: front, class, longest matching pattern, and tenant. Tenants that no route names share
-//     an index, and so do classes that the tables don't list. In the example above the axes have 2 fronts, 2 classes, 2
-//     patterns (7f*, and * for all other functions) and 1 tenant: 8 points represent all requests. One request is
-//     matched for each point.
-//  2. groupRequests groups the points by the result; for Diff, this is the pair of effects that the two tables have. To
-//     describe a group in few words, coverPoints merges its points into boxes. A requestBox is a set of indexes on each
-//     axis and represents all of their combinations. Two boxes that differ along only one axis are merged.
-//  3. A Region is a box described in the words of the configuration, such as "calls by webhook of class audit for
+// What Diff and UnmatchedRegions report must be true of all requests, and there are too many to match each one. Nor
+// may the work grow with the number of functions times that of tenants. Four steps reduce it:
+//
+//  1. A requestSpace has one index for all values of a property that the compared tables can't tell apart: for each
+//     front, class, longest matching pattern, and tenant. Tenants that no route names share an index, and so do classes
+//     that the tables don't list. In the example above there are 2 fronts, 2 classes, 2 patterns (7f*, and * for all
+//     other functions) and 1 tenant.
+//  2. For each pattern, class and front, a column holds what the requests of each tenant lead to. It lists only the
+//     tenants that differ from the others. A pattern without routes of its own for a class and a front shares the
+//     column of the pattern around it. tableColumns computes these columns for a table, and effectColumns combines
+//     those of two tables. Equal columns are stored once.
+//  3. Patterns with equal columns share a row of a rowTable. rowCover covers the requests of a row with few boxes. A
+//     requestBox is a set of classes, fronts, tenants and patterns, and represents all of their combinations, which
+//     lead to the same. Classes are merged first, then fronts, then tenants; a boxTable merges the boxes of different
+//     rows that differ in their patterns alone. For Diff, a box has the pair of effects that the two tables have.
+//  4. A Region is a box described in the words of the configuration, such as "calls by webhook of class audit for
 //     function 7f*". Its Example is one request of the region, written as arguments of the command explain.
 //
 // In the example, the requests that audits rejects are those of class audit for functions other than 7f*, and those by
-// Thrift for 7f*. These are three points: one for each front for the other functions, and one for Thrift and 7f*.
-// Merging along the front leaves two boxes, and so two regions: "calls of class audit for function * (but not 7f*)" and
+// Thrift for 7f*. These are two boxes, and so two regions: "calls of class audit for function * (but not 7f*)" and
 // "calls by thrift of class audit for function 7f*". ExampleDiff_regions shows them.
 //
+// A workLimit counts the steps, and stops the work for tables whose differences are themselves as many as products.
+//
 // Reachable needs no regions. For each rule of a route, it tests one function for each longest pattern within the
 // rule's pattern, with each class and front that the rule accepts.
 //
 // # Files
 //
-//   - spec.go, worker.go, selector.go, policy.go, pattern.go: the content of a configuration
+//   - spec.go, selector.go, policy.go, pattern.go: the content of a configuration
 //   - compile.go, compilepools.go, errors.go: compiling a Spec into a Table, and the errors
 //   - table.go, matchrule.go, matcher.go, precedence.go: finding the route of a request
 //   - pool.go, overflow.go, loads.go, window.go, carryover.go: counters and limits of pools
-//   - space.go, box.go, spaceregion.go, patternset.go: sets of requests that the tables can tell apart
+//   - worker.go, workerindex.go: the workers of pools
+//   - space.go, column.go, tablecolumns.go, rows.go, box.go, spaceregion.go, tenants.go, patternset.go: sets of
+//     requests that the tables can tell apart
+//   - tablesize.go, worklimit.go, limitedtext.go: limits on memory, work and texts
 //   - region.go, functionset.go, tenantset.go, shellquote.go: descriptions of sets of requests
 //   - diff.go, pooldiff.go, describe.go, unmatched.go, reachable.go: reports about tables
 package route
--- a/internal/route/errors.go
+++ b/internal/route/errors.go
@@ -67,3 +67,17 @@
 func (e *LoadShareError) Error() string {
 	return fmt.Sprintf("the pools' shares of the load budget add up to %.4g%%", 100*e.Total)
 }
+
+// TableSizeError reports that a table would take more memory than Spec.MaxBytes.
+type TableSizeError struct {
+	Route    string // name of the route that exceeds the limit
+	At       string // file:line of that route
+	Rules    int    // combinations of function, tenant, class and front that this route names
+	MaxBytes int
+}
+
+// Error returns a message with the name of the route and the limit.
+func (e *TableSizeError) Error() string {
+	return fmt.Sprintf("route %q, with %d combinations of function, tenant, class and front, takes the routes over "+
+		"the %d KB of memory that they may use", e.Route, e.Rules, e.MaxBytes>>10)
+}
--- a/internal/route/functionset.go
+++ b/internal/route/functionset.go
@@ -16,13 +16,23 @@
 
 // String returns the pattern and its exceptions.
 func (s FunctionSet) String() string {
-	text := s.Pattern.String()
+	b := &limitedText{}
+	s.describe(b)
+	return b.String()
+}
+
+// describe appends the pattern and its exceptions.
+func (s FunctionSet) describe(b *limitedText) {
+	b.add(s.Pattern.String())
 	if len(s.Except) == 0 {
-		return text
+		return
 	}
-	text += " (but not"
+	b.add(" (but not")
 	for _, p := range s.Except {
-		text += " " + p.String()
+		if b.isFull() {
+			return
+		}
+		b.add(" ", p.String())
 	}
-	return text + ")"
+	b.add(")")
 }
--- a/internal/route/matcher.go
+++ b/internal/route/matcher.go
@@ -38,6 +38,14 @@
 	return routes
 }
 
+// routesOf returns the routes that name a pattern, or nil if there are none.
+func (m *matcher) routesOf(p Pattern) *patternRoutes {
+	if p.Digits == functionDigits {
+		return m.exact[p.Prefix]
+	}
+	return m.prefixes[p.Digits][p.Prefix]
+}
+
 // resolve precomputes what match reads. It is called once, after all rules are added.
 func (m *matcher) resolve() {
 	for _, routes := range m.exact {
--- a/internal/route/pattern.go
+++ b/internal/route/pattern.go
@@ -74,12 +74,6 @@
 	return Pattern{Prefix: p.Prefix | uint64(digit)<<shift, Digits: p.Digits + 1}
 }
 
-// parent returns the pattern without its last digit.
-func (p Pattern) parent() Pattern {
-	digits := p.Digits - 1
-	return Pattern{Prefix: p.Prefix & prefixMask(digits), Digits: digits}
-}
-
 // prefixMask returns a mask of the first digits of a function's key.
 func prefixMask(digits int) uint64 {
 	return ^uint64(0) << (functionBits - bitsPerDigit*digits) // shifting by all 64 bits gives 0
--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"fmt"
 	"time"
 
 	"crankhold/policy"
@@ -10,10 +11,12 @@
 // attempt, load or overflow is within the pool's limits. When a table replaces another, its pools continue with the old
 // counters; see Table.CarryOver. The event loop owns a Pool.
 type Pool struct {
-	Spec      PoolSpec
-	fallback  *Pool                    // nil: none
-	members   map[policy.WorkerID]bool // the listed workers that belong to the pool
-	loadShare float64                  // fraction of the load budget
+	Spec         PoolSpec
+	description  string                   // of Spec, without the names of pools
+	selectorsKey string                   // equal for pools whose Spec.Selectors are equal
+	fallback     *Pool                    // nil: none
+	members      map[policy.WorkerID]bool // the listed workers that belong to the pool; pools may share it
+	loadShare    float64                  // fraction of the load budget
 	*poolCounters
 	loads *slidingWindow // loads that count against loadShare: the pool's, or those of all pools without a share
 }
@@ -41,6 +44,16 @@
 	}
 }
 
+// newPool returns a pool without a fallback.
+func newPool(spec PoolSpec, loadWindow time.Duration) *Pool {
+	return &Pool{
+		Spec:         spec,
+		description:  spec.description(),
+		selectorsKey: fmt.Sprintf("%#v", spec.Selectors),
+		poolCounters: newPoolCounters(loadWindow),
+	}
+}
+
 // Contains reports whether a worker belongs to the pool.
 func (p *Pool) Contains(w policy.WorkerID) bool { return p.members[w] }
 
--- a/internal/route/pooldiff.go
+++ b/internal/route/pooldiff.go
@@ -62,9 +62,9 @@
 // describeWith describes the pool with this fallback; nil is no fallback.
 func (p *Pool) describeWith(fallback *Pool) string {
 	if fallback == nil {
-		return p.Spec.description() + ", no fallback"
+		return p.description + ", no fallback"
 	}
-	return p.Spec.description() + ", fallback " + fallback.Spec.Name
+	return p.description + ", fallback " + fallback.Spec.Name
 }
 
 func poolDescription(p *Pool, description string) string {
--- a/internal/route/precedence.go
+++ b/internal/route/precedence.go
@@ -3,16 +3,12 @@
 // patternRoutes holds the routes of one pattern by tenant, class and front.
 type patternRoutes struct {
 	classCount int
-	byTenant   map[string]*classFrontRoutes // routes that name a tenant
+	byTenant   map[string]*classFrontRoutes // routes that name a tenant; nil if there are none
 	anyTenant  *classFrontRoutes            // routes that name no tenant
 }
 
 func newPatternRoutes(classCount int) *patternRoutes {
-	return &patternRoutes{
-		classCount: classCount,
-		byTenant:   map[string]*classFrontRoutes{},
-		anyTenant:  newClassFrontRoutes(classCount),
-	}
+	return &patternRoutes{classCount: classCount, anyTenant: newClassFrontRoutes(classCount)}
 }
 
 // forTenant returns the routes that name the tenant, or no tenant for "". It creates the entry if it is missing.
@@ -23,6 +19,9 @@
 	routes := p.byTenant[tenant]
 	if routes == nil {
 		routes = newClassFrontRoutes(p.classCount)
+		if p.byTenant == nil {
+			p.byTenant = map[string]*classFrontRoutes{}
+		}
 		p.byTenant[tenant] = routes
 	}
 	return routes
@@ -47,7 +46,7 @@
 }
 
 // classFrontRoutes holds the routes of one pattern and tenant by class and front. declared has the route of each rule.
-// resolved, which resolve fills in, has the closest route for each class and front.
+// resolved, which resolve fills in in place of declared, has the closest route for each class and front.
 type classFrontRoutes struct {
 	classCount int
 	declared   []routeIndex // by declaredIndex
@@ -98,6 +97,7 @@
 			c.resolved[resolvedIndex(class, front)] = c.closest(declaredClass, front)
 		}
 	}
+	c.declared = nil
 }
 
 // closest returns the route of the closest rule for a class and a front, or noRoute. A rule that names the class is
--- a/internal/route/reachable.go
+++ b/internal/route/reachable.go
@@ -4,17 +4,24 @@
 // of each route's slice, after the table's classes, is for all other classes.
 func (t *Table) Reachable() [][]bool {
 	reached := make([][]bool, len(t.routes))
+	representatives := map[Pattern][]uint64{}
 	for i := range t.routes {
-		reached[i] = t.reachingClasses(routeIndex(i))
+		reached[i] = t.reachingClasses(routeIndex(i), representatives)
 	}
 	return reached
 }
 
-// reachingClasses returns, for each class, whether some request of the class takes the route.
-func (t *Table) reachingClasses(route routeIndex) []bool {
+// reachingClasses returns, for each class, whether some request of the class takes the route. It keeps what
+// patternSet.representatives returns in a map for further calls.
+func (t *Table) reachingClasses(route routeIndex, representatives map[Pattern][]uint64) []bool {
 	reached := make([]bool, len(t.classes)+1)
 	for _, rule := range t.routes[route].Spec.matchRules(t.classes, route) {
-		for _, function := range t.patterns.representatives(rule.pattern) {
+		functions, ok := representatives[rule.pattern]
+		if !ok {
+			functions = t.patterns.representatives(rule.pattern)
+			representatives[rule.pattern] = functions
+		}
+		for _, function := range functions {
 			t.markReached(reached, rule, function)
 		}
 	}
--- a/internal/route/region.go
+++ b/internal/route/region.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"slices"
-	"strings"
 )
 
 // OtherClass is the name in place of all classes that a table does not list.
@@ -31,24 +30,26 @@
 
 // String describes the region's requests.
 func (r Region) String() string {
-	text := "calls"
+	b := &limitedText{}
+	r.describe(b)
+	return b.String()
+}
+
+// describe appends a description of the region's requests.
+func (r Region) describe(b *limitedText) {
+	b.add("calls")
 	if len(r.Fronts) < int(frontCount) {
-		text += " by " + r.Fronts[0].String()
+		b.add(" by ", r.Fronts[0].String())
 	}
 	if !r.AnyClass {
-		text += " of class " + strings.Join(r.Classes, " or ")
+		b.add(" of class ")
+		joinWithOr(b, r.Classes, func(class string) { b.add(class) })
 	}
 	if !r.AnyFunction {
-		var functions []string
-		for _, s := range r.Functions {
-			functions = append(functions, s.String())
-		}
-		text += " for function " + strings.Join(functions, " or ")
+		b.add(" for function ")
+		joinWithOr(b, r.Functions, func(s FunctionSet) { s.describe(b) })
 	}
-	if tenants := r.Tenants.String(); tenants != "" {
-		text += " " + tenants
-	}
-	return text
+	r.Tenants.describe(b)
 }
 
 // Example is one request of a region.
--- a/internal/route/selector.go
+++ b/internal/route/selector.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"fmt"
 	"slices"
 	"strconv"
@@ -82,7 +83,7 @@
 }
 
 // sortedUnique returns a sorted copy of the list without duplicates.
-func sortedUnique(list []string) []string {
+func sortedUnique[T cmp.Ordered](list []T) []T {
 	list = slices.Clone(list)
 	slices.Sort(list)
 	return slices.Compact(list)
--- a/internal/route/spec.go
+++ b/internal/route/spec.go
@@ -32,6 +32,8 @@
 	NotIdempotentClasses []string
 	// LoadWindow is the length of the sliding window of the load budget; 0: ten seconds.
 	LoadWindow time.Duration
+	// MaxBytes limits the memory of the compiled table, as tableSize estimates it; 0: no limit.
+	MaxBytes int
 }
 
 // PoolSpec defines which workers belong to a pool, and the pool's limits.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -30,15 +30,20 @@
 	matcher       *matcher
 	patterns      *patternSet // of all routes
 	tenants       []string    // that routes name, sorted
+	maxBytes      int         // Spec.MaxBytes
 }
 
 // Match returns the route of a request, or nil if none matches. It allocates nothing.
 func (t *Table) Match(r Request) *Route {
-	route := t.matcher.match(r)
-	if route == noRoute {
+	return t.routeAt(t.matcher.match(r))
+}
+
+// routeAt returns the route at an index, or nil for noRoute.
+func (t *Table) routeAt(index routeIndex) *Route {
+	if index == noRoute {
 		return nil
 	}
-	return t.routes[route]
+	return t.routes[index]
 }
 
 // RequestPolicy returns the policy that a route applies to requests of a class.
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -35,7 +35,7 @@
 		for i := range reached {
 			reached[i] = make([]bool, len(classes)+1)
 		}
-		unmatched := table.UnmatchedRegions(true)
+		unmatched, _ := table.UnmatchedRegions(true)
 		forEachRequest(func(r Request, class string) {
 			want, _ := referenceMatch(spec, r, class)
 			got := table.Match(r)
--- a/internal/route/tenantset.go
+++ b/internal/route/tenantset.go
@@ -23,15 +23,23 @@
 
 // String describes the tenants as a phrase that follows a description of requests. It returns "" for any tenant.
 func (s TenantSet) String() string {
-	names := strings.Join(s.Names, " or ")
-	switch {
-	case s.Any:
-		return ""
-	case s.Others && len(s.Names) == 0:
-		return "of no tenant that a route names"
-	case s.Others:
-		return "of tenant " + names + " or of none that a route names"
-	default:
-		return "of tenant " + names
+	b := &limitedText{}
+	s.describe(b)
+	return strings.TrimPrefix(b.String(), " ")
+}
+
+// describe appends a space and the phrase that String returns, or nothing for any tenant.
+func (s TenantSet) describe(b *limitedText) {
+	if s.Any {
+		return
+	}
+	if s.Others && len(s.Names) == 0 {
+		b.add(" of no tenant that a route names")
+		return
+	}
+	b.add(" of tenant ")
+	joinWithOr(b, s.Names, func(name string) { b.add(name) })
+	if s.Others {
+		b.add(" or of none that a route names")
 	}
 }
--- a/internal/route/worker.go
+++ b/internal/route/worker.go
@@ -46,17 +46,21 @@
 	return w
 }
 
-// SetWorkers replaces the list of workers, and selects each pool's workers from it.
+// SetWorkers replaces the list of workers, and selects each pool's workers from it. Pools with the same selectors share
+// the set of their workers.
 func (t *Table) SetWorkers(workers []Worker) {
-	for _, p := range t.pools {
-		p.members = map[policy.WorkerID]bool{}
+	listed := make([]Worker, len(workers))
+	for i, w := range workers {
+		listed[i] = w.withStatic(t.staticWorkers[w.Name])
 	}
-	for _, w := range workers {
-		w = w.withStatic(t.staticWorkers[w.Name])
-		for _, p := range t.pools {
-			if p.Spec.selects(w) {
-				p.members[w.ID] = true
-			}
+	index := newWorkerIndex(listed)
+	selected := map[string]map[policy.WorkerID]bool{} // by Pool.selectorsKey
+	for _, p := range t.pools {
+		members, ok := selected[p.selectorsKey]
+		if !ok {
+			members = index.members(p.Spec.Selectors)
+			selected[p.selectorsKey] = members
 		}
+		p.members = members
 	}
 }
--- a/internal/server/doc.go
+++ b/internal/server/doc.go
@@ -19,10 +19,11 @@
 //
 // # Reload
 //
-// On SIGHUP, the router reads the configuration and the routes file again. A reloader reads and checks both on its own
-// goroutine and applies them in one turn of the event loop. Only the discovery server's address and the routes change;
-// other settings that differ are logged as config_restart_required. An invalid file changes nothing, and open requests
-// complete under the routes that were in force when they started.
+// On SIGHUP, the router reads the configuration and the routes file again. A reloader reads and checks both, and
+// compares the routes with the current ones, on its own goroutine. It applies them in one turn of the event loop, whose
+// work doesn't grow with the routes. Only the discovery server's address and the routes change; other settings that
+// differ are logged as config_restart_required. An invalid file changes nothing, and open requests complete under the
+// routes that were in force when they started.
 //
 // # Graceful shutdown
 //
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -32,7 +32,9 @@
 	starts        *startTimes
 	lastConfirmed time.Duration // when discovery last confirmed the list; 0: never
 
-	list []discovery.Worker
+	list      []discovery.Worker
+	published map[policy.WorkerID]mergedWorker // what publish last passed on
+
 	// departed holds names that have left the list: their processes have exited.
 	departed map[string]bool
 	// returnedAt holds the times at which departed names were listed again, by name.
@@ -116,6 +118,7 @@
 func (m *membership) publish() {
 	list := policy.EndpointList{Kind: policy.EndpointSnapshot}
 	present := map[policy.WorkerID]bool{}
+	published := map[policy.WorkerID]mergedWorker{}
 	var labels []route.Worker
 	for _, worker := range m.mergeAliases() {
 		e := worker.endpoint
@@ -123,18 +126,36 @@
 		present[e.Worker] = true
 		list.Workers = append(list.Workers, e)
 		labels = append(labels, worker.labels...)
-		m.logger.Info("worker_updated",
-			slog.String("name", worker.name),
-			slog.String("addrs", fmt.Sprint(worker.addrs)),
-			slog.Any("state", e.State),
-			slog.Float64("weight", e.Weight),
-			slog.Int64("started", worker.started))
+		if previous, known := m.published[e.Worker]; !known || !worker.looksLike(previous) {
+			m.logUpdated(worker)
+		}
+		published[e.Worker] = worker
 	}
+	m.published = published
 	m.workers.RetainWorkers(present)
 	m.core.SetEndpoints(list)
 	m.core.SetRouteWorkers(labels)
 }
 
+// looksLike reports whether the log shows the two workers alike.
+func (w mergedWorker) looksLike(other mergedWorker) bool {
+	return w.name == other.name &&
+		slices.Equal(w.addrs, other.addrs) &&
+		w.endpoint.State == other.endpoint.State &&
+		w.endpoint.Weight == other.endpoint.Weight &&
+		w.started == other.started
+}
+
+// logUpdated logs a worker that is new or looks different.
+func (m *membership) logUpdated(w mergedWorker) {
+	m.logger.Info("worker_updated",
+		slog.String("name", w.name),
+		slog.String("addrs", fmt.Sprint(w.addrs)),
+		slog.Any("state", w.endpoint.State),
+		slog.Float64("weight", w.endpoint.Weight),
+		slog.Int64("started", w.started))
+}
+
 // mergeAliases groups the entries of the list by process. The name of a worker consists of the names of all its
 // entries. When one entry leaves the list, its process has exited, and the remaining entries are another worker.
 func (m *membership) mergeAliases() []mergedWorker {
--- a/internal/server/reload.go
+++ b/internal/server/reload.go
@@ -16,8 +16,8 @@
 const maxRereadRetries = 4
 
 // reloader reads the configuration and the routes file again and applies what may change while the server runs: the
-// routes and the discovery server's address. It reads the files on the goroutine that calls reload, and applies them on
-// the event loop's goroutine.
+// routes and the discovery server's address. It reads, checks and compares on the goroutine that calls reload, and only
+// replaces what is in force on the event loop's goroutine.
 type reloader struct {
 	config  *config.Config // the one that the server started with
 	options Options
@@ -28,39 +28,59 @@
 	core       *router.Core
 	discovery  *discovery.Client
 	membership *membership
-}
 
-// reloadResult holds what a reload has read. An invalid routes file does not prevent a valid configuration from being
-// applied.
-type reloadResult struct {
-	config    *config.Config
-	configErr error
-	routes    *route.Table // nil if there is no routes file
-	routesErr error
+	// current is the table in force, or nil. The goroutine that calls reload owns it once the server runs.
+	current *route.Table
 }
 
+// reloadPart is the name of a reload in the log of long turns.
+const reloadPart = "reload"
+
 // watch reloads once for each signal from requests until closed is closed. It blocks and must not be called on the
 // event loop.
 func (r *reloader) watch(requests <-chan os.Signal, closed <-chan struct{}) {
 	for {
 		select {
 		case <-requests:
-			r.reload()
+			r.reload(closed)
 		case <-closed:
 			return
 		}
 	}
 }
 
-// reload reads the configuration and the routes again and has the event loop apply them. It blocks while it reads and
-// must not be called on the event loop, which goes on serving meanwhile.
-func (r *reloader) reload() {
-	var result reloadResult
-	result.config, result.configErr = r.rereadConfig()
-	if result.configErr == nil {
-		result.routes, result.routesErr = r.readRoutes()
+// reload reads the configuration and the routes again and has the event loop apply them. It returns when they are in
+// force or the server is closed, so that at most one reload is in progress. It blocks and must not be called on the
+// event loop, which goes on serving meanwhile.
+func (r *reloader) reload(closed <-chan struct{}) {
+	stages := newStageTimes()
+	newConfig, err := r.rereadConfig()
+	if err != nil {
+		r.logger.Warn("config_reload_failed", slog.Any("err", err))
+		return
+	}
+	r.logger.Info("config_reloaded", slog.String("names", newConfig.DiscoveryAddr))
+	if changed := r.config.KeysNeedingRestart(newConfig); len(changed) > 0 {
+		r.logger.Warn("config_restart_required", slog.Any("settings", changed))
+	}
+	stages.config = stages.sinceLast()
+	table, comparison := r.prepareRoutes(stages)
+	applied := make(chan struct{})
+	r.loop.PostNamed(reloadPart, func() {
+		r.apply(newConfig, table)
+		close(applied)
+	})
+	select {
+	case <-applied:
+	case <-closed:
+		return
+	}
+	stages.apply = stages.sinceLast()
+	if table != nil {
+		r.logReplacedRoutes(table, comparison)
+		r.current = table
 	}
-	r.loop.PostNamed("reload", func() { r.apply(result) })
+	stages.log(r.logger)
 }
 
 // rereadConfig reads the configuration. If no descriptor is left for the file, it closes connections of idle clients to
@@ -76,23 +96,12 @@
 	return newConfig, err
 }
 
-// apply applies what may change while the server runs: the discovery server's address and the routes. It runs on the
-// event loop's goroutine.
-func (r *reloader) apply(result reloadResult) {
-	if result.configErr != nil {
-		r.logger.Warn("config_reload_failed", slog.Any("err", result.configErr))
-		return
-	}
-	newConfig := result.config
-	r.logger.Info("config_reloaded", slog.String("names", newConfig.DiscoveryAddr))
+// apply applies what may change while the server runs: the discovery server's address and the routes. A nil table
+// leaves the routes as they are. It runs on the event loop's goroutine.
+func (r *reloader) apply(newConfig *config.Config, table *route.Table) {
 	r.discovery.SetServer(r.loop.Now(), newConfig.DiscoveryAddr)
-	if changed := r.config.KeysNeedingRestart(newConfig); len(changed) > 0 {
-		r.logger.Warn("config_restart_required", slog.Any("settings", changed))
-	}
-	if result.routesErr != nil {
-		r.logRejectedRoutes(result.routesErr)
-	} else {
-		r.replaceRoutes(result.routes)
+	if table != nil {
+		r.core.SetRoutes(table)
 	}
 	r.membership.publish()
 }
