--- a/internal/benchmark/corefleet.go
+++ b/internal/benchmark/corefleet.go
@@ -64,7 +64,13 @@
 	})
 	list := policy.EndpointList{Kind: policy.EndpointSnapshot}
 	for n := range workers {
-		endpoint := policy.Endpoint{Worker: policy.WorkerID(n + 1), State: policy.Ready, Weight: 1}
+		endpoint := policy.Endpoint{
+			Worker: policy.WorkerID(n + 1),
+			State:  policy.Ready,
+			Weight: 1,
+			Zone:   policy.KnownGroup(0),
+			Cell:   policy.KnownGroup(0),
+		}
 		list.Workers = append(list.Workers, endpoint)
 	}
 	f.core.SetEndpoints(list)
--- a/internal/config/names.go
+++ b/internal/config/names.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"crankhold/internal/endpoint"
 	"crankhold/policy"
 )
 
@@ -29,6 +30,21 @@
 	return list
 }
 
+// ZoneGroup returns the zone of a name, which isn't known if the settings don't list it, or list it more than once.
+func (c *Config) ZoneGroup(name string) policy.Group {
+	zone := policy.Group{}
+	for i, listed := range c.Network.Zones {
+		if !endpoint.SameName(listed, name) {
+			continue
+		}
+		if zone.IsKnown() {
+			return policy.Group{}
+		}
+		zone = policy.KnownGroup(i)
+	}
+	return zone
+}
+
 // KindMemoryMB returns the memory of workers of a kind in MB, or 0 if the settings don't give it.
 func (c *Config) KindMemoryMB(kind string) float64 {
 	memory := c.Network.Specifics.MemoryMBByKind
--- a/internal/discovery/client.go
+++ b/internal/discovery/client.go
@@ -4,6 +4,7 @@
 	"log/slog"
 	"time"
 
+	"crankhold/internal/endpoint"
 	"crankhold/internal/eventloop"
 )
 
@@ -69,7 +70,7 @@
 		schedule:      newPollSchedule(cfg.Seed, cfg.DrainGracePeriod),
 		sockets:       serverSockets{dial: cfg.Dial, addr: cfg.Addr},
 		joiner:        recordJoiner{unixInTXT: cfg.UnixInTXT},
-		endpoints:     endpointList{workers: map[string]Worker{}},
+		endpoints:     endpointList{workers: map[endpoint.NameKey]Worker{}},
 	}
 	if client.logger == nil {
 		client.logger = slog.Default()
--- a/internal/discovery/client_test.go
+++ b/internal/discovery/client_test.go
@@ -17,8 +17,8 @@
 		t.Fatalf("list %v", d.list)
 	}
 	d.sockets.current.Data(responseTo(d.query(), 4, 0, 1))
-	want := []Worker{{Name: "s-0", Addrs: tcp4Addrs("10.1.0.0:10080"), Zone: "east", Kind: "std", State: policy.Ready, Weight: 4, Cell: 2, Started: 5},
-		{Name: "s-1", Addrs: tcp4Addrs("10.1.0.1:10080"), Zone: "east", Kind: "std", State: policy.Draining, Weight: 4, Cell: 2, Started: 5}}
+	want := []Worker{{Name: "s-0", Addrs: tcp4Addrs("10.1.0.0:10080"), Zone: "east", Kind: "std", State: policy.Ready, Weight: 4, Cell: policy.KnownGroup(2), Started: 5},
+		{Name: "s-1", Addrs: tcp4Addrs("10.1.0.1:10080"), Zone: "east", Kind: "std", State: policy.Draining, Weight: 4, Cell: policy.KnownGroup(2), Started: 5}}
 	if fmt.Sprint(d.list) != fmt.Sprint(want) {
 		t.Fatalf("list %v, want %v", d.list, want)
 	}
--- a/internal/discovery/endpoint_list.go
+++ b/internal/discovery/endpoint_list.go
@@ -1,9 +1,10 @@
 package discovery
 
 import (
+	"cmp"
 	"maps"
+	"math"
 	"slices"
-	"strings"
 	"time"
 
 	"crankhold/internal/endpoint"
@@ -23,14 +24,22 @@
 	Kind    string
 	State   policy.WorkerState
 	Weight  float64
-	Cell    int
+	Cell    policy.Group
 	Started int64 // when the worker's process started, in Unix milliseconds; 0 if unknown
 }
 
+// setCell sets the cell, which isn't known if the number can't be one.
+func (w *Worker) setCell(number int64) {
+	w.Cell = policy.Group{}
+	if number >= 0 && number <= math.MaxUint16 {
+		w.Cell = policy.KnownGroup(int(number))
+	}
+}
+
 // endpointList is the current list and its serial number. It is replaced by a list with a higher serial number or,
 // while it is incomplete, with the same number. The only exception is a restarted numbering, see compareLower.
 type endpointList struct {
-	workers    map[string]Worker // by name
+	workers    map[endpoint.NameKey]Worker
 	serial     uint32
 	incomplete bool          // an SRV record of the list had no usable address
 	staleSince time.Duration // since when all responses have had lower serial numbers; 0 if the latest had not
@@ -82,7 +91,7 @@
 func (l *endpointList) confirmedBy(serial uint32) bool { return serial == l.serial && !l.incomplete }
 
 // replace replaces the list. incomplete states that an SRV record of the new list had no usable address.
-func (l *endpointList) replace(serial uint32, workers map[string]Worker, incomplete bool) {
+func (l *endpointList) replace(serial uint32, workers map[endpoint.NameKey]Worker, incomplete bool) {
 	l.serial = serial
 	l.workers = workers
 	l.incomplete = incomplete
@@ -91,6 +100,8 @@
 // sorted returns the workers sorted by name.
 func (l *endpointList) sorted() []Worker {
 	workers := slices.AppendSeq(make([]Worker, 0, len(l.workers)), maps.Values(l.workers))
-	slices.SortFunc(workers, func(a, b Worker) int { return strings.Compare(a.Name, b.Name) })
+	slices.SortFunc(workers, func(a, b Worker) int {
+		return cmp.Compare(endpoint.KeyOf(a.Name), endpoint.KeyOf(b.Name))
+	})
 	return workers
 }
--- a/internal/discovery/golden_test.go
+++ b/internal/discovery/golden_test.go
@@ -46,8 +46,8 @@
 }
 
 // addresses returns the decoded address records of one owner.
-func addresses(owner string, texts ...string) map[string][]netip.Addr {
-	records := map[string][]netip.Addr{}
+func addresses(owner endpoint.NameKey, texts ...string) map[endpoint.NameKey][]netip.Addr {
+	records := map[endpoint.NameKey][]netip.Addr{}
 	for _, text := range texts {
 		records[owner] = append(records[owner], netip.MustParseAddr(text))
 	}
@@ -58,18 +58,23 @@
 // workers are compared with the expected ones.
 func TestGoldenResponsesAreParsed(t *testing.T) {
 	const target = "s-0.east.hosts"
-	noTexts := map[string][]string{}
+	noTexts := map[endpoint.NameKey][]string{}
 	service := serviceRecord{priority: 0, weight: 40, port: 10080, target: target}
 	plain := Worker{Name: "s-0", Addrs: tcp4Addrs("10.1.0.0:10080"), Zone: "east", State: policy.Ready, Weight: 4}
+	mixedService := service // names are compared without case, and keep their spelling
+	mixedService.target = "S-0.East.Hosts"
+	mixed := plain
+	mixed.Name = "S-0"
+	mixed.Zone = "East"
 	described := plain
 	described.Kind = "std"
-	described.Cell = 2
+	described.Cell = policy.KnownGroup(2)
 	described.Started = 1700000000123
 	compressed := plain
 	compressed.Kind = "std"
 	severalTexts := plain
 	severalTexts.Kind = "a=b"
-	severalTexts.Cell = 7
+	severalTexts.Cell = policy.KnownGroup(7)
 	severalTexts.Started = -5
 	severalAddresses := plain
 	severalAddresses.Addrs = []endpoint.Addr{{Network: endpoint.TCP4, Addr: "10.1.0.0:10080"}, {Network: endpoint.TCP4, Addr: "10.1.0.77:10080"},
@@ -83,7 +88,7 @@
 	bothAddresses["s-1.west.hosts"] = []netip.Addr{netip.MustParseAddr("10.1.0.1")}
 	unknownOwnerAddresses := addresses(target, "10.1.0.0")
 	unknownOwnerAddresses["s-7.east.hosts"] = []netip.Addr{netip.MustParseAddr("10.1.0.7")}
-	unixTexts := map[string][]string{target: {"unix=/run/w.sock"}}
+	unixTexts := map[endpoint.NameKey][]string{target: {"unix=/run/w.sock"}}
 
 	for _, test := range []struct {
 		label      string
@@ -94,14 +99,14 @@
 	}{
 		{"list without workers", false, response{serial: 4, addresses: addresses(""), texts: noTexts}, []Worker{}, false},
 		{"one worker", false, response{serial: 4, services: []serviceRecord{service}, addresses: addresses(target, "10.1.0.0"),
-			texts: map[string][]string{target: {"kind=std", "cell=2", "started=1700000000123"}}}, []Worker{described}, false},
+			texts: map[endpoint.NameKey][]string{target: {"kind=std", "cell=2", "started=1700000000123"}}}, []Worker{described}, false},
 		{"one worker with compressed names", false, response{serial: 4, services: []serviceRecord{{0, 40, 10080, "s-0.east.pool.lan"}},
-			addresses: addresses("s-0.east.pool.lan", "10.1.0.0"), texts: map[string][]string{"s-0.east.pool.lan": {"kind=std"}}},
+			addresses: addresses("s-0.east.pool.lan", "10.1.0.0"), texts: map[endpoint.NameKey][]string{"s-0.east.pool.lan": {"kind=std"}}},
 			[]Worker{compressed}, false},
 		{"one worker ready and one draining", false, response{serial: 4, services: []serviceRecord{service, {1, 5, 10081, "s-1.west.hosts"}},
-			addresses: bothAddresses, texts: map[string][]string{"s-1.west.hosts": {"kind=big"}}}, []Worker{plain, draining}, false},
-		{"names in mixed case", false, response{serial: 4, services: []serviceRecord{service}, addresses: addresses(target, "10.1.0.0"), texts: noTexts},
-			[]Worker{plain}, false},
+			addresses: bothAddresses, texts: map[endpoint.NameKey][]string{"s-1.west.hosts": {"kind=big"}}}, []Worker{plain, draining}, false},
+		{"names in mixed case", false, response{serial: 4, services: []serviceRecord{mixedService}, addresses: addresses(target, "10.1.0.0"), texts: noTexts},
+			[]Worker{mixed}, false},
 		{"several addresses of one worker", false, response{serial: 4, services: []serviceRecord{service},
 			addresses: addresses(target, "10.1.0.0", "10.1.0.77", "fd00::1", "ff02::1"), texts: noTexts}, []Worker{severalAddresses}, false},
 		{"Unix socket in a TXT record", true, response{serial: 4, services: []serviceRecord{service}, addresses: addresses(target, "10.1.0.0"), texts: unixTexts},
@@ -109,7 +114,7 @@
 		{"Unix socket in a TXT record", false, response{serial: 4, services: []serviceRecord{service}, addresses: addresses(target, "10.1.0.0"), texts: unixTexts},
 			[]Worker{plain}, false},
 		{"several TXT records with unknown and malformed texts", false, response{serial: 4, services: []serviceRecord{service},
-			addresses: addresses(target, "10.1.0.0"), texts: map[string][]string{target: {"kind=std", "color=red", "", "cell=two", "started=-5",
+			addresses: addresses(target, "10.1.0.0"), texts: map[endpoint.NameKey][]string{target: {"kind=std", "color=red", "", "cell=two", "started=-5",
 				"cell=7", "kind=a=b"}}}, []Worker{severalTexts}, false},
 		{"records of unknown types and owners", false, response{serial: 4, services: []serviceRecord{service}, addresses: unknownOwnerAddresses, texts: noTexts},
 			[]Worker{plain}, false},
--- a/internal/discovery/message.go
+++ b/internal/discovery/message.go
@@ -7,6 +7,8 @@
 	"net"
 	"net/netip"
 	"strings"
+
+	"crankhold/internal/endpoint"
 )
 
 // serviceName is the domain name whose SRV records form the endpoint list.
@@ -90,8 +92,8 @@
 type response struct {
 	serial    uint32
 	services  []serviceRecord
-	addresses map[string][]netip.Addr // by owner
-	texts     map[string][]string     // by owner
+	addresses map[endpoint.NameKey][]netip.Addr // by owner
+	texts     map[endpoint.NameKey][]string     // by owner
 }
 
 // serviceRecord is the data of an SRV record.
--- a/internal/discovery/name.go
+++ b/internal/discovery/name.go
@@ -1,9 +1,6 @@
 package discovery
 
-import (
-	"encoding/binary"
-	"strings"
-)
+import "encoding/binary"
 
 // Domain names in messages: RFC 1035, sections 3.1 and 4.1.4.
 const (
@@ -16,14 +13,14 @@
 	pointerOffsetMask = 0x3fff
 )
 
-// readName reads the name at offset start, compressed or not. It returns the name in lower case and the offset of the
-// first byte after it. Its error is a ParseError.
+// readName reads the name at offset start, compressed or not. It returns the name as it is spelled and the offset of
+// the first byte after it. Its error is a ParseError.
 func readName(message []byte, start int) (name string, next int, err error) {
 	r := nameReader{message: message, offset: start}
 	if err := r.read(); err != nil {
 		return "", 0, err
 	}
-	return strings.ToLower(string(r.name)), r.next, nil
+	return string(r.name), r.next, nil
 }
 
 // nameReader reads one name. readLabel and followPointer are called when offset is at the first byte of a label or a
--- a/internal/discovery/name_test.go
+++ b/internal/discovery/name_test.go
@@ -5,7 +5,7 @@
 	"testing"
 )
 
-// A name ends after its root label or its first pointer. A pointer must lead to a lower offset.
+// A name ends after its root label or its first pointer, and keeps its spelling. A pointer must lead to a lower offset.
 func TestReadName(t *testing.T) {
 	const suffix = "\x03Lan\x00" // at offset 0, in mixed case
 	for _, test := range []struct {
@@ -16,10 +16,10 @@
 		next        int // offset after a valid name
 		errorOffset int // offset of the error; -1 if the name is valid
 	}{
-		{"labels", suffix, 0, "lan", 5, -1},
+		{"labels", suffix, 0, "Lan", 5, -1},
 		{"root", suffix, 4, "", 5, -1},
-		{"label and pointer", suffix + "\x01a\xc0\x00", 5, "a.lan", 9, -1},
-		{"pointer to a pointer", suffix + "\xc0\x00\xc0\x05", 7, "lan", 9, -1},
+		{"label and pointer", suffix + "\x01a\xc0\x00", 5, "a.Lan", 9, -1},
+		{"pointer to a pointer", suffix + "\xc0\x00\xc0\x05", 7, "Lan", 9, -1},
 		{"pointer ahead", suffix + "\xc0\x07" + suffix, 5, "", 0, 5},
 		{"pointer cut short", suffix + "\xc0", 5, "", 0, 5},
 		{"label cut short", "\x03La", 0, "", 0, 0},
--- a/internal/discovery/parser.go
+++ b/internal/discovery/parser.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/binary"
 	"net/netip"
+
+	"crankhold/internal/endpoint"
 )
 
 // parseResponse parses a response to one of the client's queries and returns the id of the query. Its error is a
@@ -30,8 +32,8 @@
 		message: message,
 		offset:  headerSize,
 		response: response{
-			addresses: map[string][]netip.Addr{},
-			texts:     map[string][]string{},
+			addresses: map[endpoint.NameKey][]netip.Addr{},
+			texts:     map[endpoint.NameKey][]string{},
 		},
 	}
 }
@@ -94,7 +96,7 @@
 	if len(p.message) < p.offset {
 		return &ParseError{Offset: next, Err: errMalformed}
 	}
-	if name != serviceName || p.uint16At(next) != typeSRV {
+	if endpoint.KeyOf(name) != serviceName || p.uint16At(next) != typeSRV {
 		return &ParseError{Offset: start, Err: errOtherQuestion}
 	}
 	return nil
@@ -102,7 +104,7 @@
 
 // record is the fixed part of a record and the position of its data.
 type record struct {
-	owner      string
+	owner      endpoint.NameKey
 	recordType uint16
 	start      int // offset of the data
 	end        int
@@ -139,7 +141,7 @@
 	if len(p.message) < next+recordTrailerSize {
 		return record{}, &ParseError{Offset: next, Err: errMalformed}
 	}
-	rec := record{owner: owner, recordType: p.uint16At(next), start: next + recordTrailerSize}
+	rec := record{owner: endpoint.KeyOf(owner), recordType: p.uint16At(next), start: next + recordTrailerSize}
 	rec.end = rec.start + int(p.uint16At(next+recordLengthOffset))
 	if len(p.message) < rec.end {
 		return record{}, &ParseError{Offset: rec.start, Err: errMalformed}
--- a/internal/discovery/record_join.go
+++ b/internal/discovery/record_join.go
@@ -29,20 +29,26 @@
 // workers returns the workers of a response by name. A worker without a usable address keeps its addresses from the
 // current list, or is left out if it has none there. If any worker has no usable address, the error is a
 // MissingAddressError for the last of these workers.
-func (j recordJoiner) workers(r response, current map[string]Worker) (map[string]Worker, error) {
+func (j recordJoiner) workers(
+	r response, current map[endpoint.NameKey]Worker,
+) (map[endpoint.NameKey]Worker, error) {
 	var missing error
-	workers := map[string]Worker{}
+	workers := map[endpoint.NameKey]Worker{}
 	for _, service := range r.services {
 		worker := j.worker(service, r)
 		if len(worker.Addrs) == 0 {
 			missing = &MissingAddressError{Target: service.target}
-			worker.Addrs = current[worker.Name].Addrs
+			worker.Addrs = current[endpoint.KeyOf(worker.Name)].Addrs
 		}
 		if len(worker.Addrs) == 0 {
 			continue
 		}
 		worker.Addrs = worker.Addrs[:min(len(worker.Addrs), endpoint.MaxAddresses)]
-		workers[worker.Name] = worker
+		key := endpoint.KeyOf(worker.Name)
+		if other, ok := workers[key]; ok {
+			worker.forgetDifferences(other)
+		}
+		workers[key] = worker
 	}
 	return workers, missing
 }
@@ -53,7 +59,7 @@
 	zone, _, _ := strings.Cut(domain, ".")
 	worker := Worker{
 		Name:   name,
-		Addrs:  usableAddresses(r.addresses[service.target], service.port),
+		Addrs:  usableAddresses(r.addresses[endpoint.KeyOf(service.target)], service.port),
 		Zone:   zone,
 		State:  policy.Ready,
 		Weight: float64(service.weight) / weightScale,
@@ -61,12 +67,23 @@
 	if service.priority > 0 {
 		worker.State = policy.Draining
 	}
-	for _, text := range r.texts[service.target] {
+	for _, text := range r.texts[endpoint.KeyOf(service.target)] {
 		j.applyText(&worker, text)
 	}
 	return worker
 }
 
+// forgetDifferences makes the zone and the cell unknown where they differ from those of another entry of the same name:
+// which of two processes the name means isn't known.
+func (w *Worker) forgetDifferences(other Worker) {
+	if !endpoint.SameName(w.Zone, other.Zone) {
+		w.Zone = ""
+	}
+	if w.Cell != other.Cell {
+		w.Cell = policy.Group{}
+	}
+}
+
 // usableAddresses returns the addresses to which a connection can be made. Other addresses, such as multicast ones, are
 // left out, because the same worker may have usable addresses, too.
 func usableAddresses(hosts []netip.Addr, port uint16) []endpoint.Addr {
@@ -91,7 +108,7 @@
 		j.addUnixAddress(worker, value)
 	case "cell":
 		if cell, err := strconv.ParseInt(value, 10, 64); err == nil {
-			worker.Cell = int(cell)
+			worker.setCell(cell)
 		}
 	case "started":
 		if started, err := strconv.ParseInt(value, 10, 64); err == nil {
--- a/internal/discovery/record_join_test.go
+++ b/internal/discovery/record_join_test.go
@@ -2,10 +2,12 @@
 
 import (
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"testing"
 
+	"crankhold/internal/endpoint"
 	"crankhold/policy"
 )
 
@@ -78,3 +80,55 @@
 		t.Errorf("a complete list was applied again: %v", d.list)
 	}
 }
+
+// A cell that is missing, can't be read or can't be a cell isn't known, rather than the first one. The same holds for
+// the zone and the cell of a name that two entries have.
+func TestGroupsThatAreNotToldAreUnknown(t *testing.T) {
+	var worker Worker
+	joiner := recordJoiner{}
+	for _, text := range []string{"", "cell", "cell=", "cell=two", "cell=-1", "cell=65536", "cell=9223372036854775808"} {
+		worker = Worker{}
+		joiner.applyText(&worker, text)
+		if worker.Cell.IsKnown() {
+			t.Errorf("text %q: cell %v", text, worker.Cell)
+		}
+	}
+	if joiner.applyText(&worker, "cell=0"); worker.Cell != policy.KnownGroup(0) {
+		t.Errorf("cell %v, want the first one", worker.Cell)
+	}
+	host := []netip.Addr{netip.MustParseAddr("10.1.0.1")}
+	r := response{
+		services:  []serviceRecord{{0, 10, 80, "s-1.east.hosts"}, {0, 10, 80, "S-1.West.hosts"}, {0, 10, 80, "s-2.east.hosts"}, {0, 10, 80, "s-2.EAST.hosts"}},
+		addresses: map[endpoint.NameKey][]netip.Addr{"s-1.east.hosts": host, "s-1.west.hosts": host, "s-2.east.hosts": host},
+		texts:     map[endpoint.NameKey][]string{"s-1.east.hosts": {"cell=1"}, "s-1.west.hosts": {"cell=2"}, "s-2.east.hosts": {"cell=3"}},
+	}
+	workers, err := joiner.workers(r, nil)
+	if err != nil || len(workers) != 2 {
+		t.Fatalf("workers %v, %v", workers, err)
+	}
+	if w := workers["s-1"]; w.Zone != "" || w.Cell.IsKnown() {
+		t.Errorf("worker of two zones: %+v", w)
+	}
+	if w := workers["s-2"]; !endpoint.SameName(w.Zone, "east") || w.Cell != policy.KnownGroup(3) {
+		t.Errorf("worker with two entries in one zone: %+v", w)
+	}
+}
+
+// An entry of the configuration without a cell has none.
+func TestSnapshotWithoutACell(t *testing.T) {
+	var snapshot Snapshot
+	text := `{"offset":1,"batch":[{"offset":1,"topology":{"complete":true,"members":[
+		{"id":"s-1","host_port":"10.1.0.1:80","locality":"east","phase":"Ready"},
+		{"id":"S-2","host_port":"10.1.0.2:80","locality":"east","phase":"Ready","cell":0}]}},
+		{"offset":2,"topology":{"members":[{"id":"s-2","host_port":"10.1.0.2:80","locality":"East","phase":"Ready","cell":4}]}}]}`
+	if err := json.Unmarshal([]byte(text), &snapshot); err != nil {
+		t.Fatal(err)
+	}
+	l := endpointList{workers: map[endpoint.NameKey]Worker{}}
+	if err := l.applySnapshot(snapshot); err != nil {
+		t.Fatal(err)
+	}
+	if len(l.workers) != 2 || l.workers["s-1"].Cell.IsKnown() || l.workers["s-2"].Cell != policy.KnownGroup(4) || l.workers["s-2"].Zone != "East" {
+		t.Errorf("workers %+v", l.workers)
+	}
+}
--- a/internal/discovery/snapshot.go
+++ b/internal/discovery/snapshot.go
@@ -28,7 +28,7 @@
 	Addr    string  `json:"host_port"`
 	Zone    string  `json:"locality"`
 	Kind    string  `json:"flavor"`
-	Cell    int     `json:"cell"`
+	Cell    *int    `json:"cell"`
 	State   string  `json:"phase"` // a key of workerStates
 	Weight  float64 `json:"size"`
 	Started int64   `json:"up_since_ms"` // in Unix milliseconds
@@ -87,18 +87,21 @@
 		return &SnapshotError{Worker: m.Name, Field: "phase", Err: unknownPhaseError(m.State)}
 	}
 	if state == policy.Gone {
-		delete(l.workers, m.Name)
+		delete(l.workers, endpoint.KeyOf(m.Name))
 		return nil
 	}
-	l.workers[m.Name] = Worker{
+	worker := Worker{
 		Name:    m.Name,
 		Addrs:   []endpoint.Addr{addr},
 		Zone:    m.Zone,
 		Kind:    m.Kind,
 		State:   state,
 		Weight:  m.Weight,
-		Cell:    m.Cell,
 		Started: m.Started,
 	}
+	if m.Cell != nil {
+		worker.setCell(int64(*m.Cell))
+	}
+	l.workers[endpoint.KeyOf(m.Name)] = worker
 	return nil
 }
--- a/internal/endpoint/alias.go
+++ b/internal/endpoint/alias.go
@@ -1,6 +1,7 @@
 package endpoint
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"strings"
@@ -29,7 +30,11 @@
 		byRoot[root] = append(byRoot[root], i)
 	}
 	groups = slices.Collect(maps.Values(byRoot))
-	byName := func(a, b int) int { return strings.Compare(list[a].Name, list[b].Name) }
+	keys := make([]NameKey, len(list))
+	for i, entry := range list {
+		keys[i] = KeyOf(entry.Name)
+	}
+	byName := func(a, b int) int { return cmp.Compare(keys[a], keys[b]) }
 	for _, group := range groups {
 		slices.SortFunc(group, byName)
 	}
@@ -63,12 +68,12 @@
 
 // joinByName merges the set of each entry with that of its Entry.AliasOf.
 func joinByName(sets disjointSets, list []Entry) {
-	byName := map[string]int{}
+	byName := map[NameKey]int{}
 	for i, entry := range list {
-		byName[entry.Name] = i
+		byName[KeyOf(entry.Name)] = i
 	}
 	for i, entry := range list {
-		same, listed := byName[entry.AliasOf]
+		same, listed := byName[KeyOf(entry.AliasOf)]
 		if listed && entry.AliasOf != "" {
 			sets.join(i, same)
 		}
--- a/internal/lang/address.go
+++ b/internal/lang/address.go
@@ -51,5 +51,5 @@
 // areAliases reports whether one of two worker blocks declares that it is the same worker as the other.
 func (c *duplicateAddressChecker) areAliases(a, b string) bool {
 	sameAs := func(name string) string { return c.symbols.find(workerKeyword, name).value(sameAsSetting).text }
-	return sameAs(a) == b || sameAs(b) == a
+	return endpoint.SameName(sameAs(a), b) || endpoint.SameName(sameAs(b), a)
 }
--- a/internal/lang/limits_test.go
+++ b/internal/lang/limits_test.go
@@ -44,3 +44,26 @@
 		t.Errorf("faults %v, want %q", r.Faults, want)
 	}
 }
+
+// Names of workers and zones are compared as DNS compares them, those of kinds are not: what a check accepts must be
+// what pools select by.
+func TestNamesAreCheckedAsTheyAreCompared(t *testing.T) {
+	platform := &Platform{Classes: []Class{{Name: "a"}, {Name: "b"}}, Zones: []string{"DC1"}, Kinds: []string{"std"}}
+	for text, want := range map[string]string{
+		"worker \"s-1\" { zone = \"dc1\" }":                                                        "",
+		"worker \"s-1\" { kind = \"STD\" }":                                                        `kind "STD" is none of`,
+		"worker \"s-1\" {}\nworker \"S-1\" {}":                                                     `worker "S-1" is defined twice`,
+		"worker \"s-1\" { same-as = \"S-1\" }":                                                     "is the same as itself",
+		"pool \"q\" { workers { zone = \"dC*\" } }\nroute \"q\" {\nclass = \"a\"\npool = \"q\"\n}": "",
+		"pool \"q\" { workers { kind = \"STD\" } }\nroute \"q\" {\nclass = \"a\"\npool = \"q\"\n}": "the platform has no kind STD",
+	} {
+		files := fstest.MapFS{"f": {Data: []byte("pool \"p\" {}\nroute \"r\" { pool = \"p\" }\n" + text + "\n")}}
+		r, err := Check(files, "f", "", platform)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want == "" && len(r.Faults) > 0 || !strings.Contains(r.Faults.Error(), want) {
+			t.Errorf("%s: faults %v, want %q", text, r.Faults, want)
+		}
+	}
+}
--- a/internal/lang/selectorcheck.go
+++ b/internal/lang/selectorcheck.go
@@ -45,14 +45,18 @@
 		name     string
 		wanted   []string
 		existing []string // empty: unknown
+		matches  func(pattern, name string) bool
 	}{
-		{"kind", s.Kinds, c.platform.Kinds},
-		{"zone", s.Zones, c.platform.Zones},
+		{"kind", s.Kinds, c.platform.Kinds, matchesKind},
+		{"zone", s.Zones, c.platform.Zones, matchesZone},
 	} {
 		if len(property.existing) == 0 || len(property.wanted) == 0 {
 			continue
 		}
-		exists := func(pattern string) bool { return matchesAny(pattern, property.existing) }
+		exists := func(pattern string) bool {
+			matchesPattern := func(name string) bool { return property.matches(pattern, name) }
+			return slices.ContainsFunc(property.existing, matchesPattern)
+		}
 		if !slices.ContainsFunc(property.wanted, exists) {
 			return fmt.Sprintf("the platform has no %s %s, but %s", property.name,
 				strings.Join(property.wanted, " or "), strings.Join(property.existing, ", "))
@@ -131,7 +135,8 @@
 	case !(route.Selector{Zones: s.Zones}).Matches(w):
 		return fmt.Sprintf("is in zone %s", w.Zone)
 	case !(route.Selector{Cells: s.Cells}).Matches(w):
-		return fmt.Sprintf("is in cell %d", w.Cell)
+		cell, _ := w.Cell.Index()
+		return fmt.Sprintf("is in cell %d", cell)
 	case w.MemoryMB < s.MemoryMB:
 		return fmt.Sprintf("has %.6gMB", w.MemoryMB)
 	case !(route.Selector{Labels: s.Labels}).Matches(w):
@@ -149,7 +154,7 @@
 	if w.Zone == "" {
 		s.Zones = nil
 	}
-	if w.Cell == route.UnknownCell {
+	if !w.Cell.IsKnown() {
 		s.Cells = nil
 	}
 	if w.MemoryMB == 0 {
@@ -158,8 +163,12 @@
 	return s
 }
 
-// matchesAny reports whether a pattern, with or without a star at its end, matches one of the names.
-func matchesAny(pattern string, names []string) bool {
-	selector := route.Selector{IDs: []string{pattern}}
-	return slices.ContainsFunc(names, func(name string) bool { return selector.Matches(route.Worker{Name: name}) })
+// matchesKind reports whether a pattern, with or without a star at its end, matches the name of a kind.
+func matchesKind(pattern, name string) bool {
+	return route.Selector{Kinds: []string{pattern}}.Matches(route.Worker{Kind: name})
+}
+
+// matchesZone reports whether a pattern, with or without a star at its end, matches the name of a zone.
+func matchesZone(pattern, name string) bool {
+	return route.Selector{Zones: []string{pattern}}.Matches(route.Worker{Zone: name})
 }
--- a/internal/lang/selectorcheck_test.go
+++ b/internal/lang/selectorcheck_test.go
@@ -4,13 +4,14 @@
 	"testing"
 
 	"crankhold/internal/route"
+	"crankhold/policy"
 )
 
 // A worker block that leaves a property open does not conflict with a condition on it, because discovery may report a
 // value that fits.
 func TestMismatchIgnoresUnsetProperties(t *testing.T) {
-	known := route.Worker{Name: "s-1", Kind: "small", Cell: 3, MemoryMB: 100, Labels: map[string]string{"rack": "r1"}}
-	unknown := route.Worker{Name: "s-1", Cell: route.UnknownCell}
+	known := route.Worker{Name: "s-1", Kind: "small", Cell: policy.KnownGroup(3), MemoryMB: 100, Labels: map[string]string{"rack": "r1"}}
+	unknown := route.Worker{Name: "s-1"}
 	for _, c := range []struct {
 		selector       route.Selector
 		wantForKnown   string
--- a/internal/lang/symbols.go
+++ b/internal/lang/symbols.go
@@ -1,8 +1,10 @@
 package lang
 
 import (
-	"maps"
 	"slices"
+	"strings"
+
+	"crankhold/internal/endpoint"
 )
 
 // blockID identifies a block that has a name.
@@ -12,7 +14,15 @@
 // with the name defines it.
 type symbolTable struct {
 	complete bool                         // all files were read without a fault, so any other name is undefined
-	blocks   map[string]map[string]*block // by keyword and name
+	blocks   map[string]map[string]*block // by keyword and symbolKey
+}
+
+// symbolKey returns a text that is equal for names of one block. Names of workers are compared as DNS compares them.
+func symbolKey(keyword, name string) string {
+	if keyword == workerKeyword {
+		return string(endpoint.KeyOf(name))
+	}
+	return name
 }
 
 func newSymbolTable(complete bool) *symbolTable {
@@ -28,26 +38,33 @@
 	if s.blocks[keyword] == nil {
 		s.blocks[keyword] = map[string]*block{}
 	}
-	s.blocks[keyword][b.name] = b
+	s.blocks[keyword][symbolKey(keyword, b.name)] = b
 	return nil
 }
 
 // find returns the block that defines a name, or nil.
-func (s *symbolTable) find(keyword, name string) *block { return s.blocks[keyword][name] }
+func (s *symbolTable) find(keyword, name string) *block {
+	return s.blocks[keyword][symbolKey(keyword, name)]
+}
 
 // isDefinition reports whether the block defines its name, and does not repeat the name of an earlier block.
 func (s *symbolTable) isDefinition(b *block) bool { return s.find(b.blockType.keyword, b.name) == b }
 
 // names returns the names that the blocks of a keyword define, in sorted order.
 func (s *symbolTable) names(keyword string) []string {
-	return slices.Sorted(maps.Keys(s.blocks[keyword]))
+	var names []string
+	for _, b := range s.definitions(keyword) {
+		names = append(names, b.name)
+	}
+	return names
 }
 
 // definitions returns the blocks of a keyword that define a name, sorted by name.
 func (s *symbolTable) definitions(keyword string) []*block {
 	var blocks []*block
-	for _, name := range s.names(keyword) {
-		blocks = append(blocks, s.find(keyword, name))
+	for _, b := range s.blocks[keyword] {
+		blocks = append(blocks, b)
 	}
+	slices.SortFunc(blocks, func(a, b *block) int { return strings.Compare(a.name, b.name) })
 	return blocks
 }
--- a/internal/lang/worker.go
+++ b/internal/lang/worker.go
@@ -6,6 +6,7 @@
 	"crankhold/internal/endpoint"
 	"crankhold/internal/lang/syntax"
 	"crankhold/internal/route"
+	"crankhold/policy"
 )
 
 // networks are the networks whose addresses a worker block may give. Each has a setting of the same name.
@@ -69,13 +70,12 @@
 		Name:     b.name,
 		Kind:     b.value(kindSetting).text,
 		Zone:     b.value(zoneSetting).text,
-		Cell:     route.UnknownCell,
 		MemoryMB: b.value(memorySetting).number,
 		AliasOf:  b.value(sameAsSetting).text,
 		At:       fileLine(b.pos),
 	}
 	if b.hasValue(cellSetting) {
-		worker.Cell = b.value(cellSetting).count
+		worker.Cell = policy.KnownGroup(b.value(cellSetting).count)
 	}
 	worker.Addrs = w.buildAddresses(b)
 	for _, v := range b.values[preferSetting] {
@@ -84,8 +84,9 @@
 	}
 	worker.Labels = w.buildLabels(b)
 	if w.platform != nil {
-		w.checkListed(b, kindSetting, "the platform's kinds", w.platform.Kinds)
-		w.checkListed(b, zoneSetting, "the platform's zones", w.platform.Zones)
+		sameText := func(a, b string) bool { return a == b }
+		w.checkListed(b, kindSetting, "the platform's kinds", w.platform.Kinds, sameText)
+		w.checkListed(b, zoneSetting, "the platform's zones", w.platform.Zones, endpoint.SameName)
 	}
 	w.blocks = append(w.blocks, b)
 	w.workers = append(w.workers, worker)
@@ -121,11 +122,14 @@
 	return labels
 }
 
-// checkListed reports values of a setting that are not on a list, unless the list is empty. The values are plain names:
-// only selectors may contain patterns.
-func (w *workerBuilder) checkListed(b *block, setting, listName string, list []string) {
+// checkListed reports values of a setting that are not on a list, unless the list is empty. same compares names. The
+// values are plain names: only selectors may contain patterns.
+func (w *workerBuilder) checkListed(
+	b *block, setting, listName string, list []string, same func(a, b string) bool,
+) {
 	for _, v := range b.values[setting] {
-		if len(list) > 0 && !slices.Contains(list, v.text) {
+		isListed := slices.ContainsFunc(list, func(name string) bool { return same(name, v.text) })
+		if len(list) > 0 && !isListed {
 			w.report.fault(b, v.pos, "%s %q is none of %s%s", setting, v.text, listName, suggest(v.text, list))
 		}
 	}
@@ -138,7 +142,7 @@
 		if !w.symbols.isDefinition(b) {
 			continue // duplicate name, already reported
 		}
-		if b.value(sameAsSetting).text == b.name {
+		if b.hasValue(sameAsSetting) && endpoint.SameName(b.value(sameAsSetting).text, b.name) {
 			w.report.faultAtSetting(b, sameAsSetting, "worker %q is the same as itself", b.name)
 		}
 		addresses.add(b)
--- a/internal/route/compile.go
+++ b/internal/route/compile.go
@@ -5,6 +5,8 @@
 	"maps"
 	"slices"
 	"strings"
+
+	"crankhold/internal/endpoint"
 )
 
 // Compile builds a table from a spec, for requests of these classes. Of the routes that match a request, the closest
@@ -24,7 +26,7 @@
 	t := &Table{
 		classes:       classes,
 		pools:         slices.SortedFunc(maps.Values(pools), comparePoolNames),
-		staticWorkers: map[string]Worker{},
+		staticWorkers: map[endpoint.NameKey]Worker{},
 		matcher:       newMatcher(len(classes)),
 		maxBytes:      spec.MaxBytes,
 	}
@@ -32,7 +34,7 @@
 		t.notIdempotent = append(t.notIdempotent, slices.Contains(spec.NotIdempotentClasses, class))
 	}
 	for _, w := range spec.Workers {
-		t.staticWorkers[w.Name] = w
+		t.staticWorkers[endpoint.KeyOf(w.Name)] = w
 	}
 	if err := t.addRoutes(spec, pools); err != nil {
 		return nil, err
--- a/internal/route/pool_test.go
+++ b/internal/route/pool_test.go
@@ -144,7 +144,7 @@
 // Each condition of a selector selects the right workers. The static entry of a worker takes precedence over the
 // endpoint list.
 func TestPoolsSelectWorkers(t *testing.T) {
-	s := &Spec{Workers: []Worker{{Name: "s-2", Kind: "large", Cell: UnknownCell, Labels: map[string]string{"rack": "r1"}}}}
+	s := &Spec{Workers: []Worker{{Name: "s-2", Kind: "large", Labels: map[string]string{"rack": "r1"}}}}
 	cases := []struct {
 		name     string
 		selector Selector
@@ -165,9 +165,9 @@
 	}
 	table := mustCompile(t, s)
 	table.SetWorkers([]Worker{
-		{ID: 1, Name: "s-1", Kind: "large", Cell: 3, MemoryMB: 10240},
-		{ID: 2, Name: "s-2", Kind: "small", Cell: 3, Zone: "east"},
-		{ID: 3, Name: "t-9", Kind: "small", Cell: 3},
+		{ID: 1, Name: "s-1", Kind: "large", Cell: policy.KnownGroup(3), MemoryMB: 10240},
+		{ID: 2, Name: "s-2", Kind: "small", Cell: policy.KnownGroup(3), Zone: "east"},
+		{ID: 3, Name: "t-9", Kind: "small", Cell: policy.KnownGroup(3)},
 	})
 	for _, c := range cases {
 		for id := range policy.WorkerID(4) {
--- a/internal/route/selector.go
+++ b/internal/route/selector.go
@@ -6,10 +6,14 @@
 	"slices"
 	"strconv"
 	"strings"
+
+	"crankhold/internal/endpoint"
+	"crankhold/policy"
 )
 
 // Selector selects the workers that meet all of its conditions. A worker meets a condition if any value of the list
-// matches, or if the list is empty. A value of IDs, Kinds and Zones that ends in * is a prefix.
+// matches, or if the list is empty. A value of IDs, Kinds and Zones that ends in * is a prefix. IDs and Zones are
+// compared as DNS compares names.
 type Selector struct {
 	IDs      []string
 	Kinds    []string
@@ -33,11 +37,28 @@
 			return false
 		}
 	}
-	return matchesAny(s.IDs, w.Name) &&
+	return matchesAnyName(s.IDs, w.Name) &&
 		matchesAny(s.Kinds, w.Kind) &&
-		matchesAny(s.Zones, w.Zone) &&
+		matchesAnyName(s.Zones, w.Zone) &&
 		w.MemoryMB >= s.MemoryMB &&
-		(len(s.Cells) == 0 || slices.Contains(s.Cells, w.Cell))
+		s.matchesCell(w.Cell)
+}
+
+// matchesCell reports whether the selector names a cell, or names none. A cell that isn't known matches no name.
+func (s Selector) matchesCell(cell policy.Group) bool {
+	index, known := cell.Index()
+	return len(s.Cells) == 0 || known && slices.Contains(s.Cells, index)
+}
+
+// matchesAnyName is matchesAny for names of workers and zones, which are compared as DNS compares them.
+func matchesAnyName(patterns []string, name string) bool {
+	if len(patterns) == 0 {
+		return true
+	}
+	key := string(endpoint.KeyOf(name))
+	return slices.ContainsFunc(patterns, func(pattern string) bool {
+		return matches(string(endpoint.KeyOf(pattern)), key)
+	})
 }
 
 // matchesAny reports whether one of the patterns equals the name or, if it ends in *, is a prefix of it. An empty list
@@ -46,10 +67,13 @@
 	if len(patterns) == 0 {
 		return true
 	}
-	return slices.ContainsFunc(patterns, func(pattern string) bool {
-		prefix, star := strings.CutSuffix(pattern, "*")
-		return pattern == name || star && strings.HasPrefix(name, prefix)
-	})
+	return slices.ContainsFunc(patterns, func(pattern string) bool { return matches(pattern, name) })
+}
+
+// matches reports whether the pattern equals the name or, if it ends in *, is a prefix of it.
+func matches(pattern, name string) bool {
+	prefix, star := strings.CutSuffix(pattern, "*")
+	return pattern == name || star && strings.HasPrefix(name, prefix)
 }
 
 // String returns the selector's conditions in canonical order, so that equivalent selectors have the same text.
--- a/internal/route/table.go
+++ b/internal/route/table.go
@@ -1,6 +1,9 @@
 package route
 
-import "crankhold/policy"
+import (
+	"crankhold/internal/endpoint"
+	"crankhold/policy"
+)
 
 // Request holds the properties of a request that determine its route.
 type Request struct {
@@ -22,11 +25,11 @@
 // Table holds the routes and the pools of a configuration, and finds the route of a request. Its routes never change.
 // The pools hold counters, so the event loop owns them.
 type Table struct {
-	classes       []string          // indexed by Request.Class
-	notIdempotent []bool            // by class
-	routes        []*Route          // in the order of the spec
-	pools         []*Pool           // sorted by name
-	staticWorkers map[string]Worker // by name
+	classes       []string // indexed by Request.Class
+	notIdempotent []bool   // by class
+	routes        []*Route // in the order of the spec
+	pools         []*Pool  // sorted by name
+	staticWorkers map[endpoint.NameKey]Worker
 	matcher       *matcher
 	patterns      *patternSet // of all routes
 	tenants       []string    // that routes name, sorted
@@ -56,7 +59,7 @@
 
 // StaticWorker returns the configuration's entry for the worker of that name, and whether there is one.
 func (t *Table) StaticWorker(name string) (Worker, bool) {
-	w, ok := t.staticWorkers[name]
+	w, ok := t.staticWorkers[endpoint.KeyOf(name)]
 	return w, ok
 }
 
--- a/internal/route/worker.go
+++ b/internal/route/worker.go
@@ -5,9 +5,6 @@
 	"crankhold/policy"
 )
 
-// UnknownCell is the value of Worker.Cell if the cell is not known.
-const UnknownCell = -1
-
 // Worker describes a worker. In a Spec it is a static entry, which adds to the properties that discovery reports for
 // the worker of that name.
 type Worker struct {
@@ -15,7 +12,7 @@
 	Name     string
 	Kind     string
 	Zone     string
-	Cell     int // or UnknownCell
+	Cell     policy.Group
 	MemoryMB float64
 	Labels   map[string]string
 	Addrs    []endpoint.Addr    // addresses in addition to those of the endpoint list
@@ -36,7 +33,7 @@
 	if static.Zone != "" {
 		w.Zone = static.Zone
 	}
-	if static.Cell >= 0 {
+	if static.Cell.IsKnown() {
 		w.Cell = static.Cell
 	}
 	if static.MemoryMB > 0 {
@@ -51,7 +48,7 @@
 func (t *Table) SetWorkers(workers []Worker) {
 	listed := make([]Worker, len(workers))
 	for i, w := range workers {
-		listed[i] = w.withStatic(t.staticWorkers[w.Name])
+		listed[i] = w.withStatic(t.staticWorkers[endpoint.KeyOf(w.Name)])
 	}
 	index := newWorkerIndex(listed)
 	selected := map[string]map[policy.WorkerID]bool{} // by Pool.selectorsKey
--- a/internal/route/workerindex.go
+++ b/internal/route/workerindex.go
@@ -5,6 +5,7 @@
 	"slices"
 	"strings"
 
+	"crankhold/internal/endpoint"
 	"crankhold/policy"
 )
 
@@ -31,9 +32,9 @@
 			x.labels[key] = append(x.labels[key], int32(i))
 		}
 	}
-	x.names = newValueIndex(workers, func(w Worker) string { return w.Name })
+	x.names = newValueIndex(workers, func(w Worker) string { return string(endpoint.KeyOf(w.Name)) })
 	x.kinds = newValueIndex(workers, func(w Worker) string { return w.Kind })
-	x.zones = newValueIndex(workers, func(w Worker) string { return w.Zone })
+	x.zones = newValueIndex(workers, func(w Worker) string { return string(endpoint.KeyOf(w.Zone)) })
 	return x
 }
 
@@ -63,13 +64,13 @@
 		}
 	}
 	if len(s.IDs) > 0 {
-		keepFewer(x.names.matching(s.IDs))
+		keepFewer(x.names.matching(keysOf(s.IDs)))
 	}
 	if len(s.Kinds) > 0 {
 		keepFewer(x.kinds.matching(s.Kinds))
 	}
 	if len(s.Zones) > 0 {
-		keepFewer(x.zones.matching(s.Zones))
+		keepFewer(x.zones.matching(keysOf(s.Zones)))
 	}
 	for _, label := range s.Labels {
 		var candidates []int32
@@ -81,6 +82,15 @@
 	return fewest
 }
 
+// keysOf returns the keys of names or patterns of names.
+func keysOf(names []string) []string {
+	keys := make([]string, len(names))
+	for i, name := range names {
+		keys[i] = string(endpoint.KeyOf(name))
+	}
+	return keys
+}
+
 // valueIndex holds workers by the value of a property.
 type valueIndex struct {
 	values  []string           // sorted
--- a/internal/server/counters.go
+++ b/internal/server/counters.go
@@ -70,6 +70,7 @@
 		slog.Uint64("resent", connections.RequestsResent),
 		slog.Uint64("pings", connections.Pings))
 	s.logMalformedResponses()
+	s.reloader.membership.unknown.logCounters()
 }
 
 // logMalformedResponses logs one line for each violation of the protocol for which a connection to a worker was closed.
--- a/internal/server/membership.go
+++ b/internal/server/membership.go
@@ -34,11 +34,12 @@
 
 	list      []discovery.Worker
 	published map[policy.WorkerID]mergedWorker // what publish last passed on
+	unknown   unknownGroups
 
 	// departed holds names that have left the list: their processes have exited.
-	departed map[string]bool
+	departed map[endpoint.NameKey]bool
 	// returnedAt holds the times at which departed names were listed again, by name.
-	returnedAt map[string]time.Duration
+	returnedAt map[endpoint.NameKey]time.Duration
 }
 
 func newMembership(loop *eventloop.Loop, core *router.Core, workers *workerclient.Pool, cfg *config.Config,
@@ -50,8 +51,9 @@
 		config:     cfg,
 		logger:     logger,
 		starts:     newStartTimes(time.Now, loop.Now()),
-		departed:   map[string]bool{},
-		returnedAt: map[string]time.Duration{},
+		departed:   map[endpoint.NameKey]bool{},
+		returnedAt: map[endpoint.NameKey]time.Duration{},
+		unknown:    unknownGroups{config: cfg, logger: logger},
 	}
 }
 
@@ -77,18 +79,20 @@
 	if len(m.departed) > maxDepartedNames { // names rarely return: new processes usually have new names
 		clear(m.departed)
 	}
-	listed := map[string]bool{}
+	listed := map[endpoint.NameKey]bool{}
 	for _, worker := range list {
-		listed[worker.Name] = true
-		if m.departed[worker.Name] {
-			delete(m.departed, worker.Name)
-			m.returnedAt[worker.Name] = m.loop.Now()
+		name := endpoint.KeyOf(worker.Name)
+		listed[name] = true
+		if m.departed[name] {
+			delete(m.departed, name)
+			m.returnedAt[name] = m.loop.Now()
 		}
 	}
 	for _, worker := range m.list {
-		if !listed[worker.Name] {
-			m.departed[worker.Name] = true
-			delete(m.returnedAt, worker.Name)
+		name := endpoint.KeyOf(worker.Name)
+		if !listed[name] {
+			m.departed[name] = true
+			delete(m.returnedAt, name)
 		}
 	}
 }
@@ -98,7 +102,7 @@
 func (m *membership) startTime(worker discovery.Worker) time.Duration {
 	at, reported := m.starts.startedAt(worker.Name)
 	if !reported {
-		return m.returnedAt[worker.Name]
+		return m.returnedAt[endpoint.KeyOf(worker.Name)]
 	}
 	return at
 }
@@ -132,6 +136,7 @@
 		published[e.Worker] = worker
 	}
 	m.published = published
+	m.unknown.update(m.list)
 	m.workers.RetainWorkers(present)
 	m.core.SetEndpoints(list)
 	m.core.SetRouteWorkers(labels)
@@ -189,7 +194,7 @@
 }
 
 // mergeGroup merges the entries that lead to one process into one worker. group holds their indexes in the list. The
-// worker is draining as soon as one of its entries is.
+// worker is draining as soon as one of its entries is. Its zone and its cell are known if all entries agree on them.
 func (m *membership) mergeGroup(group []int, entries []endpoint.Entry, static []route.Worker) mergedWorker {
 	first := m.list[group[0]]
 	merged := mergedWorker{name: endpoint.GroupName(entries, group), started: first.Started}
@@ -198,7 +203,7 @@
 		State:  first.State,
 		Weight: first.Weight,
 		Cell:   first.Cell,
-		Zone:   max(slices.Index(m.config.Network.Zones, first.Zone), 0),
+		Zone:   m.config.ZoneGroup(first.Zone),
 	}
 	e := &merged.endpoint
 	for _, i := range group {
@@ -208,6 +213,8 @@
 		}
 		e.Started = max(e.Started, m.startTime(worker))
 		e.Weight = max(e.Weight, worker.Weight)
+		e.Zone = sameOrUnknown(e.Zone, m.config.ZoneGroup(worker.Zone))
+		e.Cell = sameOrUnknown(e.Cell, worker.Cell)
 		merged.addrs = append(merged.addrs, entries[i].Addrs...)
 		merged.preferredNetworks = append(merged.preferredNetworks, static[i].Prefer...)
 		merged.labels = append(merged.labels, route.Worker{
@@ -222,9 +229,18 @@
 	return merged
 }
 
-// workerID derives the id of a worker from its name, so that it is the same on every router.
+// sameOrUnknown returns the group that both are, or a group that isn't known.
+func sameOrUnknown(a, b policy.Group) policy.Group {
+	if a.Same(b) {
+		return a
+	}
+	return policy.Group{}
+}
+
+// workerID derives the id of a worker from its name, so that it is the same on every router, and for every spelling of
+// the name.
 func workerID(name string) policy.WorkerID {
 	hash := fnv.New64a()
-	hash.Write([]byte(name))
+	hash.Write([]byte(endpoint.KeyOf(name)))
 	return policy.WorkerID(hash.Sum64())
 }
--- a/internal/server/membership_test.go
+++ b/internal/server/membership_test.go
@@ -133,7 +133,7 @@
 	}
 	m := newTestMembership(t)
 	m.list = []discovery.Worker{listEntry(t, "s-1", policy.Ready, "127.0.0.1:1"), listEntry(t, "s-2", policy.Ready, "127.0.0.1:2"), listEntry(t, "s-3", policy.Ready, "127.0.0.1:3")}
-	table, err := route.Compile(&route.Spec{Workers: []route.Worker{{Name: "s-1", Cell: -1, Addrs: []endpoint.Addr{socket}}, {Name: "s-3", Cell: -1, AliasOf: "s-2", Prefer: []endpoint.Network{endpoint.TCP4}}},
+	table, err := route.Compile(&route.Spec{Workers: []route.Worker{{Name: "s-1", Addrs: []endpoint.Addr{socket}}, {Name: "s-3", AliasOf: "s-2", Prefer: []endpoint.Network{endpoint.TCP4}}},
 		Pools:  []route.PoolSpec{{Name: "a", Selectors: []route.Selector{{IDs: []string{"s-3"}}}, MaxInFlight: route.Unset, LoadShare: route.Unset, OverflowShare: route.Unset, OverflowRate: route.Unset}},
 		Routes: []route.RouteSpec{{Name: "r", Pool: "a"}}}, []string{"dim-level"})
 	if err != nil {
--- a/internal/server/start_times.go
+++ b/internal/server/start_times.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"crankhold/internal/discovery"
+	"crankhold/internal/endpoint"
 )
 
 const (
@@ -29,7 +30,7 @@
 type startTimes struct {
 	wallClock func() time.Time
 	initial   clockReading
-	byName    map[string]startTime // by the worker's name
+	byName    map[endpoint.NameKey]startTime // by the worker's name
 }
 
 // clockReading holds the time of both clocks at the same moment.
@@ -48,26 +49,26 @@
 	return &startTimes{
 		wallClock: wallClock,
 		initial:   clockReading{wall: wallClock().Round(0), monotonic: now},
-		byName:    map[string]startTime{},
+		byName:    map[endpoint.NameKey]startTime{},
 	}
 }
 
 // update records the start times in a list that has just arrived, and forgets workers that are not in it. lastConfirmed
 // is when the previous list was last confirmed, or 0 if there was none.
 func (s *startTimes) update(now, lastConfirmed time.Duration, list []discovery.Worker) {
-	byName := map[string]startTime{}
+	byName := map[endpoint.NameKey]startTime{}
 	for _, worker := range list {
 		if worker.Started == 0 {
 			continue
 		}
-		started, seen := s.byName[worker.Name]
+		started, seen := s.byName[endpoint.KeyOf(worker.Name)]
 		if !seen || started.unixMillis != worker.Started {
 			started = startTime{
 				unixMillis: worker.Started,
 				at:         s.toMonotonic(now, lastConfirmed, time.UnixMilli(worker.Started)),
 			}
 		}
-		byName[worker.Name] = started
+		byName[endpoint.KeyOf(worker.Name)] = started
 	}
 	s.byName = byName
 }
@@ -86,6 +87,6 @@
 
 // startedAt returns a worker's start time, and whether discovery reports one.
 func (s *startTimes) startedAt(name string) (at time.Duration, reported bool) {
-	started, reported := s.byName[name]
+	started, reported := s.byName[endpoint.KeyOf(name)]
 	return max(started.at, 1), reported // 0 would mean that the process started long ago
 }
--- a/internal/simulation/router.go
+++ b/internal/simulation/router.go
@@ -152,7 +152,13 @@
 func (r *Router) endpoint(id policy.WorkerID) policy.Endpoint {
 	endpoint, known := r.endpoints[id]
 	if !known && int(id) <= r.fleet.cfg.Workers {
-		return policy.Endpoint{Worker: id, State: policy.Ready, Weight: 1}
+		return policy.Endpoint{
+			Worker: id,
+			State:  policy.Ready,
+			Weight: 1,
+			Zone:   policy.KnownGroup(0),
+			Cell:   policy.KnownGroup(0),
+		}
 	}
 	return endpoint
 }
--- a/internal/simulator/events.go
+++ b/internal/simulator/events.go
@@ -190,7 +190,7 @@
 // entry unread.
 func (d *recordDecoder) endpoint() (entry policy.Endpoint, ok bool) {
 	entry.Worker = d.worker()
-	entry.Zone = int(d.uint16())
+	entry.Zone = policy.KnownGroup(int(d.uint16()))
 	state := d.uint8()
 	if state > uint8(policy.Draining) {
 		d.recordUnknown("worker state", state)
@@ -198,7 +198,7 @@
 	}
 	entry.State = policy.WorkerState(state)
 	entry.Weight = d.float32()
-	entry.Cell = int(d.uint16())
+	entry.Cell = policy.KnownGroup(int(d.uint16()))
 	d.uint8() // the worker's kind, which the policy does not use
 	entry.Started = d.duration()
 	return entry, true
--- a/internal/simulator/events_test.go
+++ b/internal/simulator/events_test.go
@@ -23,7 +23,7 @@
 		"04 0003":                                             Kill{},
 		"09 0003 0000000000000009 00000002 7b7d":              Init{Seed: 9, Settings: []byte("{}")},
 		"06 0003 02 00000029 00000001 0a9011f22354 0000 01 3fc00000 0000 00 40b7d40000000000": policy.EndpointList{
-			Kind: policy.CachedEndpointSnapshot, Workers: []policy.Endpoint{{Worker: w, State: policy.Ready, Weight: 1.5,
+			Kind: policy.CachedEndpointSnapshot, Workers: []policy.Endpoint{{Worker: w, State: policy.Ready, Zone: policy.KnownGroup(0), Cell: policy.KnownGroup(0), Weight: 1.5,
 				Started: 6100 * time.Millisecond}}},
 	} {
 		d := newRecordDecoder(unhex(t, text))
--- a/policy/attempt_outcomes_test.go
+++ b/policy/attempt_outcomes_test.go
@@ -57,8 +57,8 @@
 
 func TestRetriesWithAKeyStayInsideScopeAndWindow(t *testing.T) {
 	h := newHarness(t, config(), 0)
-	h.handle(EndpointList{Kind: EndpointSnapshot, Workers: []Endpoint{{Worker: 1, State: Ready, Zone: 0},
-		{Worker: 2, State: Ready, Zone: 1}, {Worker: 3, State: Ready, Zone: 1}}})
+	h.handle(EndpointList{Kind: EndpointSnapshot, Workers: []Endpoint{{Worker: 1, State: Ready, Zone: KnownGroup(0)},
+		{Worker: 2, State: Ready, Zone: KnownGroup(1)}, {Worker: 3, State: Ready, Zone: KnownGroup(1)}}})
 	for range 20 {
 		id, actions := h.arrive(1, 7)
 		s, _ := first[StartAttempt](actions)
--- a/policy/attempt_starter.go
+++ b/policy/attempt_starter.go
@@ -26,6 +26,7 @@
 		pool:            r.pool,
 		number:          len(r.attempts),
 		inFlightAtStart: len(w.inFlight),
+		group:           w.deduplicationGroup(r.class.DeduplicationScope),
 		startedAt:       s.turn.now,
 		expected:        chosen.predicted,
 		expectsLoad:     load > 0,
--- a/policy/events.go
+++ b/policy/events.go
@@ -76,8 +76,8 @@
 type Endpoint struct {
 	Worker  WorkerID
 	State   WorkerState
-	Zone    int
-	Cell    int
+	Zone    Group
+	Cell    Group
 	Weight  float64       // size relative to other workers; 0: unknown
 	Started time.Duration // when its process last started, on the clock of Handle; 0: long ago
 }
--- a/policy/harness_test.go
+++ b/policy/harness_test.go
@@ -37,7 +37,7 @@
 	var list EndpointList
 	list.Kind = EndpointSnapshot
 	for i := range workers {
-		list.Workers = append(list.Workers, Endpoint{Worker: WorkerID(i + 1), State: Ready, Weight: 1})
+		list.Workers = append(list.Workers, Endpoint{Worker: WorkerID(i + 1), State: Ready, Weight: 1, Zone: KnownGroup(0), Cell: KnownGroup(0)})
 	}
 	h.handle(list)
 	return h
--- a/policy/request_table.go
+++ b/policy/request_table.go
@@ -27,8 +27,9 @@
 	request         *request
 	worker          *worker
 	pool            Pool
-	number          int // from 0, in the order in which the attempts start
-	inFlightAtStart int // attempts that were in flight at the worker when this one started
+	number          int   // from 0, in the order in which the attempts start
+	inFlightAtStart int   // attempts that were in flight at the worker when this one started
+	group           Group // of the worker when it started: that of the class's DeduplicationScope
 	startedAt       time.Duration
 	expected        time.Duration // predicted latency
 	expectsLoad     bool          // no replica was known at the worker
--- a/policy/retry_rules.go
+++ b/policy/retry_rules.go
@@ -42,7 +42,7 @@
 	case Idempotent:
 		return true
 	case IdempotentWithKey:
-		return now < rules.deduplicatedUntil(r) && (w == nil || rules.deduplicatesAt(r, w))
+		return now < rules.deduplicatedUntil(r) && rules.deduplicates(r, w)
 	default:
 		return false
 	}
@@ -55,19 +55,17 @@
 		r.Policy.MaxAttempts > 0 && attempts >= r.Policy.MaxAttempts
 }
 
-// deduplicatesAt reports whether a worker drops a retry of a request that may have run at another worker.
-func (rules retryRules) deduplicatesAt(r *request, w *worker) bool {
-	first := r.firstPossibleRun.worker
-	switch r.class.DeduplicationScope {
-	case DeduplicatedEverywhere:
+// deduplicates reports whether a worker drops a retry of a request that may have run. If w is nil, it reports whether
+// any worker may do so, including one that is listed later.
+func (rules retryRules) deduplicates(r *request, w *worker) bool {
+	if r.class.DeduplicationScope == DeduplicatedEverywhere {
 		return true
-	case DeduplicatedInZone:
-		return w.Zone == first.Zone
-	case DeduplicatedInCell:
-		return w.Cell == first.Cell
-	default:
-		return false
 	}
+	group := r.firstPossibleRun.group
+	if w == nil {
+		return group.IsKnown()
+	}
+	return group.Same(w.deduplicationGroup(r.class.DeduplicationScope))
 }
 
 // deduplicatedUntil returns the time until which workers drop a retry of a request that may have run.
--- a/policy/retry_rules_test.go
+++ b/policy/retry_rules_test.go
@@ -8,9 +8,9 @@
 func TestMayRetry(t *testing.T) {
 	start := time.Hour
 	cfg := &Config{MaxAttempts: 3, Tick: 2 * ms}
-	inZone1 := &worker{Endpoint: Endpoint{Worker: 1, Zone: 1}}
-	inZone2 := &worker{Endpoint: Endpoint{Worker: 2, Zone: 2}}
-	first := &attempt{worker: inZone1, startedAt: start}
+	inZone1 := &worker{Endpoint: Endpoint{Worker: 1, Zone: KnownGroup(1)}}
+	inZone2 := &worker{Endpoint: Endpoint{Worker: 2, Zone: KnownGroup(2)}}
+	first := &attempt{worker: inZone1, group: inZone1.Zone, startedAt: start}
 	keyed := Class{Idempotency: IdempotentWithKey, DeduplicationScope: DeduplicatedInZone, DeduplicationWindow: time.Second}
 	for name, test := range map[string]struct {
 		class     Class
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -130,7 +130,7 @@
 	changeEndpoints := func() {
 		l := EndpointList{Kind: EndpointSnapshot}
 		for w := WorkerID(1); w <= 6; w++ {
-			e := Endpoint{Worker: w, State: WorkerState(1 + rng.IntN(5)/4), Zone: int(w) % 2}
+			e := Endpoint{Worker: w, State: WorkerState(1 + rng.IntN(5)/4), Zone: KnownGroup(int(w) % 2)}
 			if rng.IntN(4) == 0 {
 				e.Started = now - time.Duration(rng.IntN(9000))*ms
 			}
--- a/policy/scheduling_test.go
+++ b/policy/scheduling_test.go
@@ -106,7 +106,7 @@
 	var list EndpointList
 	list.Kind = EndpointSnapshot
 	for i, size := range sizes {
-		list.Workers = append(list.Workers, Endpoint{Worker: WorkerID(workerHash(i)), State: Ready, Weight: size})
+		list.Workers = append(list.Workers, Endpoint{Worker: WorkerID(workerHash(i)), State: Ready, Weight: size, Zone: KnownGroup(0), Cell: KnownGroup(0)})
 	}
 	sent, preferred := map[float64]float64{}, map[FunctionID]WorkerID{}
 	for seed := range uint64(routers) {
@@ -151,7 +151,7 @@
 			*h.p.scheduler.rng = *rand.New(rand.NewPCG(seed, 7))
 			var list EndpointList
 			for w := range 20 {
-				list.Workers = append(list.Workers, Endpoint{Worker: WorkerID(w + 1), State: Ready, Weight: float64(2 + w%2)})
+				list.Workers = append(list.Workers, Endpoint{Worker: WorkerID(w + 1), State: Ready, Weight: float64(2 + w%2), Zone: KnownGroup(0), Cell: KnownGroup(0)})
 			}
 			h.handle(list)
 			for range 150 {
--- a/policy/slow_start_fleet_test.go
+++ b/policy/slow_start_fleet_test.go
@@ -137,7 +137,7 @@
 		h.advance(33 * ms)
 	}
 	for w := range started {
-		restarted.Workers = append(restarted.Workers, Endpoint{Worker: WorkerID(w + 1), State: Ready, Started: h.now})
+		restarted.Workers = append(restarted.Workers, Endpoint{Worker: WorkerID(w + 1), State: Ready, Started: h.now, Zone: KnownGroup(0), Cell: KnownGroup(0)})
 	}
 	h.handle(restarted)
 	before := h.attemptsAtWorker1
--- a/policy/stream_test.go
+++ b/policy/stream_test.go
@@ -47,7 +47,7 @@
 	completed := map[string]bool{}
 	list := EndpointList{Kind: EndpointSnapshot}
 	for w := range s.workers {
-		list.Workers = append(list.Workers, Endpoint{Worker: WorkerID(w*7919 + 1), State: Ready, Weight: 1})
+		list.Workers = append(list.Workers, Endpoint{Worker: WorkerID(w*7919 + 1), State: Ready, Weight: 1, Zone: KnownGroup(0), Cell: KnownGroup(0)})
 	}
 	addEvent(0, list)
 	var arrive func()
--- a/policy/worker_table.go
+++ b/policy/worker_table.go
@@ -56,6 +56,18 @@
 	w.size = cmp.Or(stats.Clamp(e.Weight, 0, maxWorkerSize), 1)
 }
 
+// deduplicationGroup returns the worker's zone or cell. It isn't known for a scope that is neither.
+func (w *worker) deduplicationGroup(scope DeduplicationScope) Group {
+	switch scope {
+	case DeduplicatedInZone:
+		return w.Zone
+	case DeduplicatedInCell:
+		return w.Cell
+	default:
+		return Group{}
+	}
+}
+
 // markUnlistedGone marks the workers that are not in a whole endpoint list as gone.
 func (t *workerTable) markUnlistedGone(listed map[WorkerID]bool) {
 	for _, w := range t.fleet {
