--- a/policy/group.go
+++ b/policy/group.go
@@ -1,7 +1,7 @@
 package policy
 
-// Group is a zone or a cell, as the group of workers that drop the retries of a request. The zero value is a group that
-// isn't known, which is the same as no group, itself included.
+// Group is a zone or a cell, as the group of workers that drop the retries of a request. The zero value is a
+// group that isn't known, which is the same as no group, itself included.
 type Group struct{ number int } // its index and 1; 0 if it isn't known
 
 // KnownGroup returns the zone or the cell of an index, which must not be negative.
--- a/policy/retry_rules.go
+++ b/policy/retry_rules.go
@@ -55,8 +55,8 @@
 		r.Policy.MaxAttempts > 0 && attempts >= r.Policy.MaxAttempts
 }
 
-// deduplicates reports whether a worker drops a retry of a request that may have run. If w is nil, it reports whether
-// any worker may do so, including one that is listed later.
+// deduplicates reports whether a worker drops a retry of a request that may have run. If w is nil, it reports
+// whether any worker may do so, including one that is listed later.
 func (rules retryRules) deduplicates(r *request, w *worker) bool {
 	if r.class.DeduplicationScope == DeduplicatedEverywhere {
 		return true
