Write the log beside the event loop, so that a stopped reader holds nothing

A router whose standard error nobody reads answers nothing more once the pipe is full (64 KiB), and hangs until it is killed.

Cause: each line was written by the goroutine that logs, within a lock that all loggers share. The event loop logs.

Evidence: TestRouterServesWhileNobodyReadsItsLog, which asks for a report before each of 200 requests, did not end on (60 s limit).

Change: logging.BufferedWriter takes lines into 256 KiB and writes them on a goroutine of its own; what doesn't fit is dropped and counted by log_lines_dropped. At its end the program waits 50 ms for the reader.

Why it works: a logger never waits for the reader, only for a copy.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -5,6 +5,7 @@
 	"io/fs"
 	"log/slog"
 	"os"
+	"time"
 
 	"crankhold/internal/config"
 	"crankhold/internal/logging"
@@ -35,6 +36,9 @@
 	return f.path
 }
 
+// logCloseTimeout is how long the program waits at its end for the reader of its log.
+const logCloseTimeout = 50 * time.Millisecond
+
 // serveCommand implements the command serve.
 type serveCommand struct{}
 
@@ -44,7 +48,9 @@
 	if err != nil {
 		return inputError(err)
 	}
-	slog.SetDefault(logging.New(env.Err, level))
+	log := logging.NewBufferedWriter(env.Err)
+	defer log.Close(logCloseTimeout)
+	slog.SetDefault(logging.New(log, level))
 	readConfig := func() (*config.Config, error) { return config.Read(env.Getenv) }
 	c, err := readConfig()
 	if err != nil {
