Plant the fault in the retry rules by their present text

Change: the text follows; what is planted, a repeat of a request that must not run twice, is the same.

--- a/internal/workerclient/model_search_test.go
+++ b/internal/workerclient/model_search_test.go
@@ -93,8 +93,8 @@
 	{
 		name: "the decision module retries a request that must not run twice",
 		file: "policy/retry_rules.go",
-		old:  "rules.deduplicatesAt(r, w))\n\tdefault:\n\t\treturn false",
-		new:  "rules.deduplicatesAt(r, w))\n\tdefault:\n\t\treturn true",
+		old:  "rules.deduplicates(r, w)\n\tdefault:\n\t\treturn false",
+		new:  "rules.deduplicates(r, w)\n\tdefault:\n\t\treturn true",
 	},
 	{
 		name: "a lost race is never reported",
