Keep the profile of a turn with the turn's times

Cause: Loop had 16 fields, and a statement set two values at once (the readable count). Change: form alone; turnTimes holds the profile.

--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -35,7 +35,6 @@
 
 	// Owned by the goroutine that calls Run.
 	turnTimes
-	profile  turnProfile
 	clients  *acceptedClients
 	flushes  flushList
 	counters Counters
@@ -47,6 +46,7 @@
 	now       time.Duration // start of the turn; the clock is read once per turn
 	arrivedAt time.Duration // when the data that is being handled arrived; otherwise now
 	stall     stall
+	profile   turnProfile
 }
 
 // New returns a Loop without listeners. The caller must close it with Close.
@@ -64,9 +64,12 @@
 		descriptors: descriptors,
 		read:        readSocket,
 		unread:      &unreadTotal{max: int64(cfg.MaxUnreadBytes)},
-		turnTimes:   turnTimes{now: started, arrivedAt: started},
-		profile:     turnProfile{clock: clock.now, logger: logger},
-		clients:     newAcceptedClients(logger),
+		turnTimes: turnTimes{
+			now:       started,
+			arrivedAt: started,
+			profile:   turnProfile{clock: clock.now, logger: logger},
+		},
+		clients: newAcceptedClients(logger),
 	}
 	l.idleCloser = &idleCloser{queue: queue, closeIdle: l.closeIdleClient, loopClosed: ctx}
 	l.admission = &admission{limit: int64(cfg.MaxAccepted), idleCloser: l.idleCloser}
@@ -189,7 +192,8 @@
 func (l *Loop) dispatch(batch []event) {
 	for i := range batch {
 		e := &batch[i]
-		kind, name := e.kind, e.name
+		kind := e.kind
+		name := e.name
 		switch e.kind {
 		case callPosted:
 			e.call()
