Split the files of membership, reload logs and columns

Change: moves alone: what one process is, what a reload logs and the columns of effects have files of their own; the test of the reference cover is named after it.

--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -78,8 +78,8 @@
 //   - table.go, matchrule.go, matcher.go, precedence.go: finding the route of a request
 //   - pool.go, overflow.go, loads.go, window.go, carryover.go: counters and limits of pools
 //   - worker.go, workerindex.go: the workers of pools
-//   - space.go, column.go, tablecolumns.go, rows.go, box.go, spaceregion.go, tenants.go, patternset.go: sets of
-//     requests that the tables can tell apart
+//   - space.go, column.go, tablecolumns.go, effectcolumns.go, rows.go, box.go, spaceregion.go, tenants.go,
+//     patternset.go: sets of requests that the tables can tell apart
 //   - tablesize.go, worklimit.go, limitedtext.go: limits on memory, work and texts
 //   - region.go, functionset.go, tenantset.go, shellquote.go: descriptions of sets of requests
 //   - diff.go, pooldiff.go, describe.go, unmatched.go, reachable.go: reports about tables
