Log by which event a client's connection ended with a response due

Change: client_connection_lost has the peer's address, the descriptor, what the poller was told and since when the connection was quiet, at most once a second. Nothing else differs.

--- a/internal/eventloop/clients.go
+++ b/internal/eventloop/clients.go
@@ -21,6 +21,7 @@
 	isClosing  bool          // closeAll was called: each connection is closed once it is idle
 	sweptAt    time.Duration // time of the last sweep
 	rejections rejectionLog
+	lost       lostLog
 }
 
 // newAcceptedClients returns an empty set of connections.
@@ -29,6 +30,7 @@
 		conns:      map[*Conn]struct{}{},
 		readBuffer: make([]byte, readBufferSize),
 		rejections: rejectionLog{logger: logger},
+		lost:       lostLog{logger: logger},
 	}
 }
 
--- a/internal/eventloop/counters.go
+++ b/internal/eventloop/counters.go
@@ -46,13 +46,15 @@
 	c.LongestTurn = max(c.LongestTurn, took)
 }
 
-// connectionClosed counts an accepted connection that was closed.
-func (c *Counters) connectionClosed(conn *Conn) {
+// connectionClosed counts an accepted connection that was closed, and reports whether a response was due on it.
+func (c *Counters) connectionClosed(conn *Conn) (responseDue bool) {
 	count := &c.Closes[conn.state.cause]
 	count.Connections++
-	if conn.handler != nil && conn.isBusy() || conn.UnsentBytes() > 0 {
+	responseDue = conn.handler != nil && conn.isBusy() || conn.UnsentBytes() > 0
+	if responseDue {
 		count.ResponseDue++
 	}
+	return responseDue
 }
 
 // Counters returns the counters and resets LongestTurn.
--- a/internal/eventloop/counters_test.go
+++ b/internal/eventloop/counters_test.go
@@ -1,7 +1,11 @@
 package eventloop
 
 import (
+	"bytes"
+	"fmt"
 	"io"
+	"log/slog"
+	"strings"
 	"testing"
 	"time"
 )
@@ -48,3 +52,30 @@
 		})
 	}
 }
+
+// A client that leaves while a response is due is logged with what ended its connection, at most once a second. Guards
+// against an end that the counters call the peer's, and that nothing tells from one by a late event of the poller.
+func TestClientThatLeavesIsLoggedWithItsEvent(t *testing.T) {
+	var out bytes.Buffer
+	accepted := make(chan *echoHandler, 1)
+	l := start(t, 8, acceptInto(accepted, true))
+	client := dial(t, l)
+	c := (<-accepted).c
+	ended := make(chan struct{})
+	l.Post(func() {
+		l.clients.lost.logger = slog.New(slog.NewTextHandler(&out, nil))
+		close(ended)
+	})
+	<-ended
+	client.Close()
+	awaitCloseCount(t, l, ClosedByPeer)
+	logged := make(chan string)
+	l.Post(func() {
+		l.clients.lost.add(l.clients.lost.loggedAt+lostLogInterval, c, io.ErrUnexpectedEOF)
+		logged <- out.String()
+	})
+	want := fmt.Sprintf("descriptor=%d err=EOF", c.socket.Hash())
+	if got := <-logged; strings.Count(got, "client_connection_lost") != 1 || !strings.Contains(got, want) || !strings.Contains(got, "count=1") {
+		t.Errorf("log %q, want one line with %q", got, want)
+	}
+}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -224,7 +224,10 @@
 		return
 	}
 	if c.isAccepted {
-		l.counters.connectionClosed(c)
+		responseDue := l.counters.connectionClosed(c)
+		if responseDue && c.state.cause == ClosedByPeer {
+			l.clients.lost.add(l.now, c, err)
+		}
 		l.admission.closed()
 	}
 	c.notifyClosed(err)
