Make room beside a dial under way only when a further dial is due

What callers saw: nothing in service; found beside the recovery dials. At the limit of connections a slow dial closed the connection that had been idle for longest, every 50 ms, and the next request to that worker waited for a dial of its own.

Cause: dialer.mayDialConcurrently made room for one more connection before it was known whether the worker has a further address, and whether the dial in progress has taken long enough.

Evidence: TestDialUnderWayMakesNoRoomForAnotherThatIsNotDue failed before with "2 dials, idle connection closed: true", for a worker with one address.

Change: DialRace.OverlapDue is asked first.

Why it works: an idle connection is given up only where a dial follows it.

Measured: the tests of workerclient, endpoint and server pass.

--- a/internal/endpoint/race.go
+++ b/internal/endpoint/race.go
@@ -54,6 +54,11 @@
 	return addr, true
 }
 
+// OverlapDue reports whether Next would return an address for a dial beside those in progress.
+func (r *DialRace) OverlapDue(now time.Duration) bool {
+	return !r.won && len(r.remaining) > 0 && r.overlapDue(now)
+}
+
 // overlapDue reports whether the dials in progress have taken long enough to start another one.
 func (r *DialRace) overlapDue(now time.Duration) bool {
 	return r.inProgress < MaxDialsPerRace && now-r.lastDialAt >= r.delay
--- a/internal/workerclient/capacity_test.go
+++ b/internal/workerclient/capacity_test.go
@@ -42,3 +42,18 @@
 		t.Error("the idle connection was closed, and nothing was to be dialed")
 	}
 }
+
+// The same holds while a dial is under way whose worker has no further address.
+func TestDialUnderWayMakesNoRoomForAnotherThatIsNotDue(t *testing.T) {
+	p := newTestPool(func(cfg *Config) { cfg.MaxConnections = 2 })
+	p.SetWorker(1, tcp4("127.0.0.1:1"), policy.Ready)
+	p.SetWorker(2, tcp4("127.0.0.1:2"), policy.Ready)
+	p.StartAttempt(1, router.Attempt{Request: 1}, newRequest("0000000000000001"), time.Second)
+	p.transports[0].handler.DialCompleted(nil)
+	p.transports[0].handler.Data(encodeResponse("0000000000000001", "HIT", ""))
+	p.StartAttempt(2, router.Attempt{Request: 2}, newRequest("0000000000000002"), time.Second)
+	p.Maintain(p.now + MaintenanceInterval)
+	if len(p.transports) != 2 || p.transports[0].Closed {
+		t.Errorf("%d dials, idle connection closed: %v", len(p.transports), p.transports[0].Closed)
+	}
+}
--- a/internal/workerclient/dialer.go
+++ b/internal/workerclient/dialer.go
@@ -44,7 +44,7 @@
 	if p.dialLimitReached() {
 		return false
 	}
-	return len(d.inProgress) == 0 || p.ensureCapacity()
+	return len(d.inProgress) == 0 || d.race.OverlapDue(p.now) && p.ensureCapacity()
 }
 
 func (d *dialer) dial(addr endpoint.Addr) {
