Leave the group unknown for an empty zone and for members that disagree

What callers saw: nothing in service; found by reading what left. A keyed request that may have run could be repeated in another zone.

Cause: two more ways in which what isn't known counted as known. An empty zone was a zone where the settings list an empty name, and so all workers without a zone were one group. Of two members of one name within one change in known, the last one told the zone and the cell, as records of discovery did before.

Evidence, before: TestZonesThatAreNotListedOnceAreUnknown (zone "": {1}, want {0}) and TestSnapshotMembersThatDisagreeHaveNoGroup (Zone:west, Cell 2) failed.

Change: Config.ZoneGroup knows no empty name; endpointList.applyMembers forgets differences within one change. A later change still tells the group again.

Why it works: both paths into policy.Endpoint's groups now yield the zero value for what is missing or contradictory, and that is the same as nothing.

--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -9,6 +9,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"crankhold/policy"
 )
 
 const validConfig = `{"name":"n3","listen":"127.0.0.1:10080","seed":"8c1f30d27a5be964","limits":{"cores":1.0,"memory_mb":192,"sockets":1024},
@@ -154,3 +156,18 @@
 		t.Errorf("error %v", err)
 	}
 }
+
+// A zone is known if the settings list its name once, as DNS compares names. Guards against workers without a zone that
+// count as one zone where the settings list an empty name, and against a spelling that decides.
+func TestZonesThatAreNotListedOnceAreUnknown(t *testing.T) {
+	c := &Config{}
+	c.Network.Zones = []string{"", "dc1", "DC2", "dc3", "Dc3"}
+	for name, want := range map[string]policy.Group{
+		"": {}, "dc3": {}, "dc4": {}, "dc": {},
+		"DC1": policy.KnownGroup(1), "dc2": policy.KnownGroup(2),
+	} {
+		if got := c.ZoneGroup(name); got != want {
+			t.Errorf("zone %q: %v, want %v", name, got, want)
+		}
+	}
+}
--- a/internal/config/names.go
+++ b/internal/config/names.go
@@ -30,9 +30,13 @@
 	return list
 }
 
-// ZoneGroup returns the zone of a name, which isn't known if the settings don't list it, or list it more than once.
+// ZoneGroup returns the zone of a name. It isn't known if the name is empty, or if the settings don't list it or list
+// it more than once.
 func (c *Config) ZoneGroup(name string) policy.Group {
 	zone := policy.Group{}
+	if name == "" {
+		return zone
+	}
 	for i, listed := range c.Network.Zones {
 		if !endpoint.SameName(listed, name) {
 			continue
--- a/internal/discovery/record_join_test.go
+++ b/internal/discovery/record_join_test.go
@@ -132,3 +132,34 @@
 		t.Errorf("workers %+v", l.workers)
 	}
 }
+
+// Members of one change with one name that disagree on their zone or cell leave it unknown, and a later change tells
+// it again. Guards against the last of them deciding which of two processes the name means.
+func TestSnapshotMembersThatDisagreeHaveNoGroup(t *testing.T) {
+	east, west := 1, 2
+	entry := func(name, zone string, cell *int, state string) member {
+		return member{Name: name, Addr: "10.1.0.1:80", Zone: zone, Cell: cell, State: state}
+	}
+	l := endpointList{workers: map[endpoint.NameKey]Worker{}}
+	apply := func(members ...member) Worker {
+		t.Helper()
+		if err := l.applyMembers(members); err != nil {
+			t.Fatal(err)
+		}
+		return l.workers["s-1"]
+	}
+	for _, members := range [][]member{
+		{entry("s-1", "east", &east, "Ready"), entry("S-1", "west", &west, "Ready")},
+		{entry("s-1", "east", &east, "Ready"), entry("s-1", "west", nil, "Ready"), entry("s-1", "west", &west, "Ready")},
+	} {
+		if w := apply(members...); w.Zone != "" || w.Cell.IsKnown() {
+			t.Errorf("members %v: worker %+v", members, w)
+		}
+	}
+	if w := apply(entry("s-1", "west", &west, "Ready")); w.Zone != "west" || w.Cell != policy.KnownGroup(west) {
+		t.Errorf("after a later change: %+v", w)
+	}
+	if w := apply(entry("s-1", "west", &west, "Gone"), entry("s-1", "east", &east, "Ready")); w.Zone != "east" || w.Cell != policy.KnownGroup(east) {
+		t.Errorf("after it had gone: %+v", w)
+	}
+}
--- a/internal/discovery/snapshot.go
+++ b/internal/discovery/snapshot.go
@@ -65,10 +65,8 @@
 		if change.List.Complete {
 			clear(l.workers)
 		}
-		for _, m := range change.List.Members {
-			if err := l.applyMember(m); err != nil {
-				return err
-			}
+		if err := l.applyMembers(change.List.Members); err != nil {
+			return err
 		}
 		l.serial = max(l.serial, change.Serial)
 	}
@@ -76,19 +74,39 @@
 	return nil
 }
 
-// applyMember adds or replaces a worker, or removes it if its state is Gone.
-func (l *endpointList) applyMember(m member) error {
+// applyMembers applies the members of one change. Members of one name that disagree on their zone or cell leave it
+// unknown, as they do in a response of discovery.
+func (l *endpointList) applyMembers(members []member) error {
+	applied := map[endpoint.NameKey]Worker{}
+	for _, m := range members {
+		worker, err := m.worker()
+		if err != nil {
+			return err
+		}
+		key := endpoint.KeyOf(m.Name)
+		if worker.State == policy.Gone {
+			delete(l.workers, key)
+			delete(applied, key)
+			continue
+		}
+		if other, repeated := applied[key]; repeated {
+			worker.forgetDifferences(other)
+		}
+		applied[key] = worker
+		l.workers[key] = worker
+	}
+	return nil
+}
+
+// worker returns the worker that a member describes. Its error is a SnapshotError.
+func (m member) worker() (Worker, error) {
 	addr, err := endpoint.ParseHost(m.Addr)
 	if err != nil {
-		return &SnapshotError{Worker: m.Name, Field: "host_port", Err: err}
+		return Worker{}, &SnapshotError{Worker: m.Name, Field: "host_port", Err: err}
 	}
 	state, known := workerStates[m.State]
 	if !known {
-		return &SnapshotError{Worker: m.Name, Field: "phase", Err: unknownPhaseError(m.State)}
-	}
-	if state == policy.Gone {
-		delete(l.workers, endpoint.KeyOf(m.Name))
-		return nil
+		return Worker{}, &SnapshotError{Worker: m.Name, Field: "phase", Err: unknownPhaseError(m.State)}
 	}
 	worker := Worker{
 		Name:    m.Name,
@@ -102,6 +120,5 @@
 	if m.Cell != nil {
 		worker.setCell(int64(*m.Cell))
 	}
-	l.workers[endpoint.KeyOf(m.Name)] = worker
-	return nil
+	return worker, nil
 }
--- a/internal/server/keyed_group_test.go
+++ b/internal/server/keyed_group_test.go
@@ -50,7 +50,7 @@
 				entries++
 			}
 		}
-		if entries == 1 {
+		if entries == 1 && w.Zone != "" {
 			w.zone = strings.ToLower(w.Zone)
 		}
 		if cell := rapid.IntRange(-1, 2).Draw(t, "cell"); cell >= 0 {
@@ -77,7 +77,7 @@
 func TestKeyedRequestRunsInOneGroup(t *testing.T) {
 	repeats := 0
 	rapid.Check(t, func(t *rapid.T) {
-		listed := rapid.SampledFrom([][]string{{"DC1", "DC2"}, {"dc1", "dc2"}, {"dc2"}, {"DC1", "dc1"}, nil}).Draw(t, "zones of the settings")
+		listed := rapid.SampledFrom([][]string{{"DC1", "DC2"}, {"dc1", "dc2"}, {"dc2"}, {"DC1", "dc1"}, {"", "dc1"}, nil}).Draw(t, "zones of the settings")
 		scope := rapid.SampledFrom([]policy.DeduplicationScope{policy.DeduplicatedInZone, policy.DeduplicatedInCell}).Draw(t, "scope")
 		workers := drawLabeledWorkers(t, listed)
 		cfg := &config.Config{}
