Select the workers of pools by sets of bits

A new list, or a reload, held the event loop for seconds and took the router over its memory where a routes file has thousands of pools no two of which select workers by the same text.

Cause: Table.SetWorkers runs on the loop, and looked at each worker for each distinct selector by cell or memory; each pool had a map of its workers.

Change: workerIndex holds the entries in the order of each property, with a set of bits before every 128th, so that the entries with a value, or with values in a row, are added to a set in words. A pool has a bit for each worker.

Why it works: a selector costs as many words as there are workers by 64, not a look at each of them, and members take an eighth of a byte.

--- a/internal/route/pool.go
+++ b/internal/route/pool.go
@@ -12,11 +12,11 @@
 // counters; see Table.CarryOver. The event loop owns a Pool.
 type Pool struct {
 	Spec         PoolSpec
-	description  string                   // of Spec, without the names of pools
-	selectorsKey string                   // equal for pools whose Spec.Selectors are equal
-	fallback     *Pool                    // nil: none
-	members      map[policy.WorkerID]bool // the listed workers that belong to the pool; pools may share it
-	loadShare    float64                  // fraction of the load budget
+	description  string    // of Spec, without the names of pools
+	selectorsKey string    // equal for pools whose Spec.Selectors are equal
+	fallback     *Pool     // nil: none
+	members      workerSet // the listed workers that belong to the pool; pools may share it
+	loadShare    float64   // fraction of the load budget
 	*poolCounters
 	loads *slidingWindow // loads that count against loadShare: the pool's, or those of all pools without a share
 }
@@ -55,10 +55,10 @@
 }
 
 // Contains reports whether a worker belongs to the pool.
-func (p *Pool) Contains(w policy.WorkerID) bool { return p.members[w] }
+func (p *Pool) Contains(w policy.WorkerID) bool { return p.members.contains(w) }
 
 // Size returns how many listed workers belong to the pool.
-func (p *Pool) Size() int { return len(p.members) }
+func (p *Pool) Size() int { return p.members.size() }
 
 // HasCapacity reports whether one more attempt may be in flight.
 func (p *Pool) HasCapacity() bool {
--- a/internal/route/worker.go
+++ b/internal/route/worker.go
@@ -51,7 +51,7 @@
 		listed[i] = w.withStatic(t.staticWorkers[endpoint.KeyOf(w.Name)])
 	}
 	index := newWorkerIndex(listed)
-	selected := map[string]map[policy.WorkerID]bool{} // by Pool.selectorsKey
+	selected := map[string]workerSet{} // by Pool.selectorsKey
 	for _, p := range t.pools {
 		members, ok := selected[p.selectorsKey]
 		if !ok {
--- a/internal/route/workerindex.go
+++ b/internal/route/workerindex.go
@@ -1,85 +1,130 @@
 package route
 
 import (
-	"maps"
-	"slices"
-	"strings"
-
 	"crankhold/internal/endpoint"
 	"crankhold/policy"
 )
 
-// workerIndex finds the workers that a selector matches without looking at each worker.
+// workerIndex finds the workers that selectors match, by the values of the workers' properties.
+//
+// Several entries of a list of workers may be of one worker. A selector has to match one of them as a whole.
 type workerIndex struct {
-	workers []Worker
-	all     []int32
-	names   valueIndex
-	kinds   valueIndex
-	zones   valueIndex
-	labels  map[labelValue][]int32 // indexes in workers
+	positions  map[policy.WorkerID]int32 // of the workers, in the order of their first entries
+	position   []int32                   // by entry: that of its worker
+	all        bitSet                    // entries
+	properties properties
+
+	matched   bitSet // entries that meet the conditions of a selector so far
+	condition bitSet // entries that meet the current condition
 }
 
-// labelValue is a label with its value.
-type labelValue struct{ name, value string }
+// properties holds the entries of a list by the values of their properties. What an entry lacks has no value.
+type properties struct {
+	names  *valueIndex[string] // by endpoint.KeyOf
+	kinds  *valueIndex[string]
+	zones  *valueIndex[string] // by endpoint.KeyOf
+	cells  *valueIndex[int]
+	memory *valueIndex[float64]
+	labels map[string]*valueIndex[string] // by the label's name
+}
 
-// newWorkerIndex indexes workers. Their properties must not change afterwards.
-func newWorkerIndex(workers []Worker) *workerIndex {
-	x := &workerIndex{workers: workers, labels: map[labelValue][]int32{}}
-	for i, w := range workers {
-		x.all = append(x.all, int32(i))
-		for name, value := range w.Labels {
-			key := labelValue{name, value}
-			x.labels[key] = append(x.labels[key], int32(i))
+// newWorkerIndex indexes the entries of a list.
+func newWorkerIndex(list []Worker) *workerIndex {
+	x := &workerIndex{
+		positions:  map[policy.WorkerID]int32{},
+		all:        newBitSet(len(list)),
+		properties: newProperties(list),
+		matched:    newBitSet(len(list)),
+		condition:  newBitSet(len(list)),
+	}
+	for i, w := range list {
+		if _, known := x.positions[w.ID]; !known {
+			x.positions[w.ID] = int32(len(x.positions))
 		}
+		x.position = append(x.position, x.positions[w.ID])
+		x.all.add(int32(i))
 	}
-	x.names = newValueIndex(workers, func(w Worker) string { return string(endpoint.KeyOf(w.Name)) })
-	x.kinds = newValueIndex(workers, func(w Worker) string { return w.Kind })
-	x.zones = newValueIndex(workers, func(w Worker) string { return string(endpoint.KeyOf(w.Zone)) })
 	return x
 }
 
+func newProperties(list []Worker) properties {
+	var names, kinds, zones []valuedEntry[string]
+	var cells []valuedEntry[int]
+	var memory []valuedEntry[float64]
+	labels := map[string][]valuedEntry[string]{}
+	for i, w := range list {
+		entry := int32(i)
+		names = append(names, valuedEntry[string]{entry, string(endpoint.KeyOf(w.Name))})
+		kinds = append(kinds, valuedEntry[string]{entry, w.Kind})
+		zones = append(zones, valuedEntry[string]{entry, string(endpoint.KeyOf(w.Zone))})
+		memory = append(memory, valuedEntry[float64]{entry, w.MemoryMB})
+		if cell, known := w.Cell.Index(); known {
+			cells = append(cells, valuedEntry[int]{entry, cell})
+		}
+		for name, value := range w.Labels {
+			labels[name] = append(labels[name], valuedEntry[string]{entry, value})
+		}
+	}
+	p := properties{
+		names:  newValueIndex(len(list), names),
+		kinds:  newValueIndex(len(list), kinds),
+		zones:  newValueIndex(len(list), zones),
+		cells:  newValueIndex(len(list), cells),
+		memory: newValueIndex(len(list), memory),
+		labels: map[string]*valueIndex[string]{},
+	}
+	for name, entries := range labels {
+		p.labels[name] = newValueIndex(len(list), entries)
+	}
+	return p
+}
+
 // members returns the workers that one of the selectors matches; no selectors match all workers.
-func (x *workerIndex) members(selectors []Selector) map[policy.WorkerID]bool {
-	members := map[policy.WorkerID]bool{}
+func (x *workerIndex) members(selectors []Selector) workerSet {
+	set := workerSet{positions: x.positions, members: newBitSet(len(x.positions))}
 	if len(selectors) == 0 {
 		selectors = []Selector{{}}
 	}
+	hasAliases := len(x.positions) < len(x.position)
 	for _, s := range selectors {
-		for _, i := range x.candidates(s) {
-			if s.Matches(x.workers[i]) {
-				members[x.workers[i].ID] = true
-			}
+		matched := x.matching(s)
+		if hasAliases {
+			matched.each(func(entry int32) { set.members.add(x.position[entry]) })
+		} else {
+			set.members.addAll(matched) // the position of a worker is its entry
 		}
 	}
-	return members
+	return set
 }
 
-// candidates returns workers among which are all that the selector matches: those that meet the condition that the
-// fewest workers meet.
-func (x *workerIndex) candidates(s Selector) []int32 {
-	fewest := x.all
-	keepFewer := func(candidates []int32) {
-		if len(candidates) < len(fewest) {
-			fewest = candidates
-		}
-	}
+// matching returns the entries that a selector matches; see Selector.Matches. The result is valid until the next call.
+func (x *workerIndex) matching(s Selector) bitSet {
+	p := x.properties
+	copy(x.matched, x.all)
 	if len(s.IDs) > 0 {
-		keepFewer(x.names.matching(keysOf(s.IDs)))
+		x.retain(func(set bitSet) { addMatching(set, p.names, keysOf(s.IDs)) })
 	}
 	if len(s.Kinds) > 0 {
-		keepFewer(x.kinds.matching(s.Kinds))
+		x.retain(func(set bitSet) { addMatching(set, p.kinds, s.Kinds) })
 	}
 	if len(s.Zones) > 0 {
-		keepFewer(x.zones.matching(keysOf(s.Zones)))
+		x.retain(func(set bitSet) { addMatching(set, p.zones, keysOf(s.Zones)) })
 	}
+	if len(s.Cells) > 0 {
+		x.retain(func(set bitSet) { addEach(set, p.cells, s.Cells) })
+	}
+	x.retain(func(set bitSet) { p.memory.addAtLeast(set, s.MemoryMB) })
 	for _, label := range s.Labels {
-		var candidates []int32
-		for _, value := range label.Values {
-			candidates = append(candidates, x.labels[labelValue{label.Name, value}]...)
-		}
-		keepFewer(candidates)
+		x.retain(func(set bitSet) { addEach(set, p.labels[label.Name], label.Values) })
 	}
-	return fewest
+	return x.matched
+}
+
+// retain removes the matched entries that don't meet a condition. add adds those that do to an empty set.
+func (x *workerIndex) retain(add func(set bitSet)) {
+	clear(x.condition)
+	add(x.condition)
+	x.matched.retain(x.condition)
 }
 
 // keysOf returns the keys of names or patterns of names.
@@ -90,39 +135,3 @@
 	}
 	return keys
 }
-
-// valueIndex holds workers by the value of a property.
-type valueIndex struct {
-	values  []string           // sorted
-	workers map[string][]int32 // by value
-}
-
-func newValueIndex(workers []Worker, value func(Worker) string) valueIndex {
-	x := valueIndex{workers: map[string][]int32{}}
-	for i, w := range workers {
-		x.workers[value(w)] = append(x.workers[value(w)], int32(i))
-	}
-	x.values = slices.Sorted(maps.Keys(x.workers))
-	return x
-}
-
-// matching returns the workers with a value that one of the patterns matches; see matchesAny. A worker may occur
-// several times.
-func (x *valueIndex) matching(patterns []string) []int32 {
-	var workers []int32
-	for _, pattern := range patterns {
-		workers = append(workers, x.workers[pattern]...)
-		prefix, star := strings.CutSuffix(pattern, "*")
-		if !star {
-			continue
-		}
-		first, _ := slices.BinarySearch(x.values, prefix)
-		for _, value := range x.values[first:] {
-			if !strings.HasPrefix(value, prefix) {
-				break
-			}
-			workers = append(workers, x.workers[value]...)
-		}
-	}
-	return workers
-}
