Check routes by work that grows with the file where its parts cross

A reload checks its file on the router's one core: files of 0.6 to 1.4 MB took 4 to 12 s to check.

Cause: three products that left. Where longer patterns take all functions of a shorter one, Reachable tested each of them for each tenant. resolveInheritance called itself for each policy of a chain, and searched the chain. Each selector by cell or memory was compared with each worker block.

Change: functions that a longer pattern takes from every tenant are left out once for a pattern, class and front; what is left is bounded by steps, after which routes count as reachable and a note says so. Chains of policies are followed in a loop. Selectors are matched with worker blocks as with workers, by route.PossibleWorkers, where what a block lacks excludes nothing.

Why it works: no step is repeated for each pair any more.

--- a/internal/lang/checktable.go
+++ b/internal/lang/checktable.go
@@ -25,11 +25,26 @@
 		t.reportCompileError(err, spec.Routes[0].Name)
 		return nil
 	}
-	reachable := table.Reachable()
+	first := t.symbols.find(routeKeyword, table.Routes()[0].Spec.Name)
+	t.checkRoutes(table, first)
+	t.noteUnmatched(table, first)
+	return table
+}
+
+// checkRoutes checks each route. What concerns no single route is reported at the first one.
+func (t *tableChecker) checkRoutes(table *route.Table, first *block) {
+	reachable, complete := table.Reachable()
 	for i, r := range table.Routes() {
 		t.checkRoute(r, t.reachingClasses(reachable[i]))
 	}
-	first := t.symbols.find(routeKeyword, table.Routes()[0].Spec.Name)
+	if !complete {
+		t.report.note(first, first.pos,
+			"not all routes were tested for whether a call can reach them: there are too many combinations")
+	}
+}
+
+// noteUnmatched notes, at the first route, the requests that no route matches.
+func (t *tableChecker) noteUnmatched(table *route.Table, first *block) {
 	regions, complete := table.UnmatchedRegions(!t.classes.complete)
 	for _, region := range regions {
 		t.report.note(first, first.pos, "no route takes %v; they are refused (%v)", region, region.Example)
@@ -37,7 +52,6 @@
 	if !complete {
 		t.report.note(first, first.pos, "not all calls that no route takes are listed: there are too many combinations")
 	}
-	return table
 }
 
 // reportCompileError reports an error of route.Compile at the route that it concerns, or at the first route. Errors
--- a/internal/lang/policy.go
+++ b/internal/lang/policy.go
@@ -92,7 +92,7 @@
 		b.references.resolve(p.block, likeSetting, policyKeyword)
 	}
 	for _, p := range b.policies {
-		b.resolveInheritance(p, nil)
+		b.resolveInheritance(p)
 	}
 	c := b.settingsChecker()
 	for _, p := range b.policies {
@@ -108,24 +108,42 @@
 	return &policyChecker{report: b.report, platform: b.platform}
 }
 
-// resolveInheritance adds the settings that a policy inherits through its setting like. chain lists the policies that
-// inherit from p; it serves to detect cycles.
-func (b *policyBuilder) resolveInheritance(p *policyBlock, chain []string) {
-	if p.resolved {
-		return
+// resolveInheritance adds the settings that a policy inherits through its setting like, and those that the policies in
+// between inherit. It reports a circle of policies at the one that it meets twice.
+func (b *policyBuilder) resolveInheritance(p *policyBlock) {
+	var chain []*policyBlock // each is like the next one
+	indexes := map[*policyBlock]int{}
+	for ; p != nil && !p.resolved; p = b.baseOf(p) {
+		if start, met := indexes[p]; met {
+			b.reportCircle(p, chain[start:])
+			break
+		}
+		indexes[p] = len(chain)
+		chain = append(chain, p)
 	}
-	if i := slices.Index(chain, p.name); i >= 0 {
-		cycle := append(chain[i:], p.name)
-		b.report.faultAtSetting(p.block, likeSetting,
-			"policies are like each other in a circle: %s", strings.Join(cycle, " > "))
+	for _, p := range slices.Backward(chain) {
+		if base := b.baseOf(p); base != nil {
+			b.inheritMissingSettings(p, base)
+		}
 		p.resolved = true
-		return
 	}
-	if base := b.byName[p.value(likeSetting).text]; base != nil {
-		b.resolveInheritance(base, append(chain, p.name))
-		b.inheritMissingSettings(p, base)
+}
+
+// baseOf returns the policy that p is like, or nil.
+func (b *policyBuilder) baseOf(p *policyBlock) *policyBlock {
+	return b.byName[p.value(likeSetting).text]
+}
+
+// reportCircle reports, at p, policies each of which is like the next one. The first of them is p, and the last one is
+// like p.
+func (b *policyBuilder) reportCircle(p *policyBlock, circle []*policyBlock) {
+	var names []string
+	for _, member := range circle {
+		names = append(names, member.name)
 	}
-	p.resolved = true
+	names = append(names, p.name)
+	b.report.faultAtSetting(p.block, likeSetting,
+		"policies are like each other in a circle: %s", strings.Join(names, " > "))
 }
 
 // inheritMissingSettings copies from base the settings that p does not have, and adds their lines to those of p.
--- a/internal/lang/selectorcheck.go
+++ b/internal/lang/selectorcheck.go
@@ -14,7 +14,8 @@
 	platform *Platform                  // nil: unknown
 	workers  []route.Worker             // from worker blocks
 	byName   map[endpoint.NameKey][]int // indexes in workers
-	byLabel  map[labelValue][]int
+	labels   map[labelValue]bool        // that some worker has
+	possible *route.PossibleWorkers
 	reasons  map[string]string // results of unsatisfiableReason, by selector
 }
 
@@ -27,14 +28,14 @@
 		platform: platform,
 		workers:  workers,
 		byName:   map[endpoint.NameKey][]int{},
-		byLabel:  map[labelValue][]int{},
+		labels:   map[labelValue]bool{},
+		possible: route.NewPossibleWorkers(workers),
 		reasons:  map[string]string{},
 	}
 	for i, w := range workers {
 		c.byName[endpoint.KeyOf(w.Name)] = append(c.byName[endpoint.KeyOf(w.Name)], i)
 		for name, value := range w.Labels {
-			label := labelValue{name, value}
-			c.byLabel[label] = append(c.byLabel[label], i)
+			c.labels[labelValue{name, value}] = true
 		}
 	}
 	return c
@@ -57,20 +58,18 @@
 	if reason := c.platformMismatch(s); reason != "" {
 		return reason
 	}
-	matched, namedWorkerMismatch := c.matchesWorkerBlock(s)
-	if matched {
+	switch {
+	case c.possible.MayMatch(s):
 		return ""
-	}
-	if len(s.Labels) > 0 {
+	case len(s.Labels) > 0:
 		return c.missingLabel(s)
-	}
-	if c.namesOnlyWorkerBlocks(s) {
-		return namedWorkerMismatch
-	}
-	if s.MemoryMB > 0 {
+	case c.namesOnlyWorkerBlocks(s):
+		return c.namedWorkerMismatch(s)
+	case s.MemoryMB > 0:
 		return c.insufficientMemory(s)
+	default:
+		return ""
 	}
-	return ""
 }
 
 // platformMismatch returns why the platform has no worker of the selector's kinds or zones. It returns "" if the
@@ -103,42 +102,15 @@
 	return ""
 }
 
-// matchesWorkerBlock reports whether the selector matches a worker block. If not, it also returns why the last worker
-// block that the selector names by id does not match, or "" if it names none.
-func (c *selectorChecker) matchesWorkerBlock(s route.Selector) (matched bool, namedWorkerMismatch string) {
-	for _, i := range c.candidates(s) {
-		w := c.workers[i]
-		reason := mismatch(s, w)
-		if reason == "" {
-			return true, ""
-		}
-		if len(s.IDs) > 0 && (route.Selector{IDs: s.IDs}).Matches(w) {
-			namedWorkerMismatch = fmt.Sprintf("worker %q %s", w.Name, reason)
-		}
-	}
-	return false, namedWorkerMismatch
-}
-
-// candidates returns the indexes, in order, of worker blocks among which are all that the selector names or matches.
-func (c *selectorChecker) candidates(s route.Selector) []int {
-	var indexes []int
-	switch {
-	case namesExactly(s.IDs):
-		for _, id := range s.IDs {
-			indexes = append(indexes, c.byName[endpoint.KeyOf(id)]...)
-		}
-	case len(s.Labels) > 0:
-		for _, value := range s.Labels[0].Values {
-			indexes = append(indexes, c.byLabel[labelValue{s.Labels[0].Name, value}]...)
-		}
-	default:
-		for i := range c.workers {
-			indexes = append(indexes, i)
-		}
-		return indexes
+// namedWorkerMismatch returns why the last worker block that a selector names by id does not match. Each of its ids
+// must have a block, and none of these may match.
+func (c *selectorChecker) namedWorkerMismatch(s route.Selector) string {
+	last := 0
+	for _, id := range s.IDs {
+		last = max(last, slices.Max(c.byName[endpoint.KeyOf(id)]))
 	}
-	slices.Sort(indexes)
-	return slices.Compact(indexes)
+	w := c.workers[last]
+	return fmt.Sprintf("worker %q %s", w.Name, mismatch(s, w))
 }
 
 // namesExactly reports whether ids are names without stars, at least one.
@@ -151,7 +123,7 @@
 // have no labels.
 func (c *selectorChecker) missingLabel(s route.Selector) string {
 	for _, label := range s.Labels {
-		isGiven := func(value string) bool { return len(c.byLabel[labelValue{label.Name, value}]) > 0 }
+		isGiven := func(value string) bool { return c.labels[labelValue{label.Name, value}] }
 		if !slices.ContainsFunc(label.Values, isGiven) {
 			wanted := strings.Join(label.Values, " or ")
 			return fmt.Sprintf("no worker block gives the label %s = %s", label.Name, wanted)
--- a/internal/route/diff_size_test.go
+++ b/internal/route/diff_size_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 )
 
@@ -70,6 +71,46 @@
 	}
 }
 
+// Finding the routes that no request can reach takes work in proportion to the routes, also where longer patterns take
+// all functions of a shorter one, and it stops at a limit. Guards against a check of a reload that tests each function
+// for each tenant.
+func TestReachableTakesWorkInProportionToTheRoutes(t *testing.T) {
+	covered := func(digits, tenants int) *Table {
+		s := &Spec{Pools: []PoolSpec{unlimitedPool("all")}}
+		for i := range 1 << (bitsPerDigit * digits) {
+			pattern := Pattern{Prefix: uint64(i) << (functionBits - bitsPerDigit*digits), Digits: digits}
+			s.Routes = append(s.Routes, RouteSpec{Name: fmt.Sprint("f", i), Pool: "all", Functions: []Pattern{pattern}})
+		}
+		for i := range tenants {
+			s.Routes = append(s.Routes, RouteSpec{Name: fmt.Sprint("t", i), Pool: "all", Tenants: []string{fmt.Sprint(i)}})
+		}
+		return mustCompile(t, s)
+	}
+	steps := func(digits, tenants int) int {
+		table := covered(digits, tenants)
+		r := newReachability(table)
+		for i, classes := range r.ofRoutes() {
+			isTenant := table.routes[i].Spec.Tenants != nil
+			if slices.Contains(classes, true) == isTenant {
+				t.Fatalf("route %s: reached by %v", table.routes[i].Spec.Name, classes)
+			}
+		}
+		return r.work.steps / len(table.routes)
+	}
+	few := steps(1, 25)
+	if many := steps(3, 6400); many > 2*few {
+		t.Errorf("%d steps a route with 10,496 routes, and %d with 41", many, few)
+	}
+	table := covered(2, 10)
+	table.maxBytes = 100 * bytesPerStep
+	reached, complete := table.Reachable()
+	for i, classes := range reached[:256] {
+		if complete || !slices.Contains(classes, true) {
+			t.Errorf("at the limit: complete: %v, route %d is reached by %v", complete, i, classes)
+		}
+	}
+}
+
 // A comparison that would take more work than its limit stops, and says so. What it reports up to there is true.
 func TestDiffStopsAtItsLimit(t *testing.T) {
 	old := functionsAndTenants(t, 300, 30, 2)
--- a/internal/route/matcher.go
+++ b/internal/route/matcher.go
@@ -81,3 +81,18 @@
 	}
 	return noRoute
 }
+
+// digitsForAnyTenant returns the number of digits of the longest pattern that has a route for a function, a class and a
+// front, whatever the tenant is. It returns -1 if there is none.
+func (m *matcher) digitsForAnyTenant(function uint64, resolvedIndex int) int {
+	if routes := m.exact[function]; routes != nil && routes.anyTenant.resolved[resolvedIndex] != noRoute {
+		return functionDigits
+	}
+	for _, digits := range m.prefixLengths {
+		routes := m.prefixes[digits][function&prefixMask(digits)]
+		if routes != nil && routes.anyTenant.resolved[resolvedIndex] != noRoute {
+			return digits
+		}
+	}
+	return -1
+}
--- a/internal/route/table_test.go
+++ b/internal/route/table_test.go
@@ -30,7 +30,7 @@
 		if ties {
 			t.Fatal("two routes are equally close, and Compile returned no error")
 		}
-		reachable := table.Reachable()
+		reachable, _ := table.Reachable()
 		reached := make([][]bool, len(spec.Routes))
 		for i := range reached {
 			reached[i] = make([]bool, len(classes)+1)
@@ -67,12 +67,12 @@
 	for d := range 16 {
 		s.Routes = append(s.Routes, RouteSpec{Name: fmt.Sprint("r", d), Pool: "a", Functions: []Pattern{{Prefix: uint64(d) << 60, Digits: 1}}})
 	}
-	if r := mustCompile(t, s).Reachable(); slices.Contains(r[0], true) || slices.Contains(r[16], false) {
+	if r, _ := mustCompile(t, s).Reachable(); slices.Contains(r[0], true) || slices.Contains(r[16], false) {
 		t.Errorf("classes that reach the first and the last route: %v and %v", r[0], r[16])
 	}
 	byThrift := RouteSpec{Name: "front", Pool: "a", Fronts: []Front{Thrift}, Functions: []Pattern{{Prefix: 0xf << 60, Digits: 1}}}
 	s.Routes = append(s.Routes[:16:16], byThrift)
-	if r := mustCompile(t, s).Reachable(); slices.Contains(r[0], false) {
+	if r, _ := mustCompile(t, s).Reachable(); slices.Contains(r[0], false) {
 		t.Errorf("the first route is unreachable, but takes the webhook requests for the last sixteenth of the functions: %v", r[0])
 	}
 }
@@ -84,7 +84,7 @@
 		{Name: "thrift", Pool: "a", Fronts: []Front{Thrift}, Tenants: []string{"east"}},
 		{Name: "any", Pool: "a", Tenants: []string{"west"}},
 	}
-	r := mustCompile(t, s).Reachable()
+	r, _ := mustCompile(t, s).Reachable()
 	if slices.Contains(r[0], true) || slices.Contains(r[1], false) {
 		t.Errorf("classes that reach each route: %v", r)
 	}
--- a/internal/route/unmatched.go
+++ b/internal/route/unmatched.go
@@ -1,15 +1,10 @@
 package route
 
-import "cmp"
-
-// maxUnmatchedSteps limits the work of UnmatchedRegions if the table has no limit of its own.
-const maxUnmatchedSteps = 4_000_000
-
 // UnmatchedRegions describes the requests that no route matches; they are rejected. otherClasses says whether there are
 // classes that the table does not list. complete is false if the table is so large that some regions are left out.
 func (t *Table) UnmatchedRegions(otherClasses bool) (regions []Region, complete bool) {
 	const unmatched effectID = 1
-	work := &workLimit{limit: cmp.Or(t.maxSteps(), maxUnmatchedSteps)}
+	work := t.newWorkLimit()
 	s := newRequestSpace(otherClasses, work, t)
 	matched := make([]routeIndex, len(t.routes)) // how a request is matched makes no difference
 	effects := newEffectColumns(s, nil, newTableColumns(s, t, matched))
--- a/internal/route/valueindex.go
+++ b/internal/route/valueindex.go
@@ -81,38 +81,43 @@
 	x.entries.addRange(set, x.starts[first], x.starts[first+count])
 }
 
-// checkpointInterval is the distance of the checkpoints of orderedEntries. A range of entries costs at most twice as
-// many single additions.
-const checkpointInterval = 128
+// Limits of the checkpoints of orderedEntries.
+const (
+	// minCheckpointInterval is the least distance of two checkpoints. Shorter ranges are not worth one.
+	minCheckpointInterval = 128
+	// maxCheckpoints bounds the memory of the sets, each of which grows with the number of entries.
+	maxCheckpoints = 64
+)
 
 // orderedEntries is a list of entries of which ranges can be added to a set, at a cost that hardly grows with the
-// range's length.
+// range's length: at most the entries between two checkpoints at each of its ends are added one by one.
 type orderedEntries struct {
-	order  []int32
-	before []bitSet // by checkpoint: the set of the entries before it
+	order    []int32
+	interval int      // distance of two checkpoints
+	before   []bitSet // by checkpoint: the set of the entries before it
 }
 
 func newOrderedEntries(limit int, order []int32) orderedEntries {
-	e := orderedEntries{order: order}
+	e := orderedEntries{order: order, interval: max(minCheckpointInterval, len(order)/maxCheckpoints)}
 	set := newBitSet(limit)
-	for checkpoint := 0; checkpoint <= len(order); checkpoint += checkpointInterval {
+	for checkpoint := 0; checkpoint <= len(order); checkpoint += e.interval {
 		e.before = append(e.before, slices.Clone(set))
-		e.addOneByOne(set, checkpoint, min(checkpoint+checkpointInterval, len(order)))
+		e.addOneByOne(set, checkpoint, min(checkpoint+e.interval, len(order)))
 	}
 	return e
 }
 
 // addRange adds the entries from the index first up to last, without last, to a set.
 func (e *orderedEntries) addRange(set bitSet, first, last int) {
-	firstCheckpoint := (first + checkpointInterval - 1) / checkpointInterval
-	lastCheckpoint := last / checkpointInterval
+	firstCheckpoint := (first + e.interval - 1) / e.interval
+	lastCheckpoint := last / e.interval
 	if firstCheckpoint >= lastCheckpoint {
 		e.addOneByOne(set, first, last)
 		return
 	}
-	e.addOneByOne(set, first, firstCheckpoint*checkpointInterval)
+	e.addOneByOne(set, first, firstCheckpoint*e.interval)
 	set.addDifference(e.before[lastCheckpoint], e.before[firstCheckpoint])
-	e.addOneByOne(set, lastCheckpoint*checkpointInterval, last)
+	e.addOneByOne(set, lastCheckpoint*e.interval, last)
 }
 
 // addOneByOne adds the entries of a range.
--- a/internal/route/workerindex.go
+++ b/internal/route/workerindex.go
@@ -13,6 +13,7 @@
 	position   []int32                   // by entry: that of its worker
 	all        bitSet                    // entries
 	properties properties
+	unknown    unknownProperties // entries that a condition on a property does not exclude
 
 	matched   bitSet // entries that meet the conditions of a selector so far
 	condition bitSet // entries that meet the current condition
@@ -28,7 +29,15 @@
 	labels map[string]*valueIndex[string] // by the label's name
 }
 
-// newWorkerIndex indexes the entries of a list.
+// unknownProperties holds the entries that lack a property. A nil set is empty.
+type unknownProperties struct {
+	kinds  bitSet
+	zones  bitSet
+	cells  bitSet
+	memory bitSet
+}
+
+// newWorkerIndex indexes the entries of a list. What an entry lacks excludes it from conditions on that.
 func newWorkerIndex(list []Worker) *workerIndex {
 	x := &workerIndex{
 		positions:  map[policy.WorkerID]int32{},
@@ -102,27 +111,29 @@
 	p := x.properties
 	copy(x.matched, x.all)
 	if len(s.IDs) > 0 {
-		x.retain(func(set bitSet) { addMatching(set, p.names, keysOf(s.IDs)) })
+		x.retain(nil, func(set bitSet) { addMatching(set, p.names, keysOf(s.IDs)) })
 	}
 	if len(s.Kinds) > 0 {
-		x.retain(func(set bitSet) { addMatching(set, p.kinds, s.Kinds) })
+		x.retain(x.unknown.kinds, func(set bitSet) { addMatching(set, p.kinds, s.Kinds) })
 	}
 	if len(s.Zones) > 0 {
-		x.retain(func(set bitSet) { addMatching(set, p.zones, keysOf(s.Zones)) })
+		x.retain(x.unknown.zones, func(set bitSet) { addMatching(set, p.zones, keysOf(s.Zones)) })
 	}
 	if len(s.Cells) > 0 {
-		x.retain(func(set bitSet) { addEach(set, p.cells, s.Cells) })
+		x.retain(x.unknown.cells, func(set bitSet) { addEach(set, p.cells, s.Cells) })
 	}
-	x.retain(func(set bitSet) { p.memory.addAtLeast(set, s.MemoryMB) })
+	x.retain(x.unknown.memory, func(set bitSet) { p.memory.addAtLeast(set, s.MemoryMB) })
 	for _, label := range s.Labels {
-		x.retain(func(set bitSet) { addEach(set, p.labels[label.Name], label.Values) })
+		x.retain(nil, func(set bitSet) { addEach(set, p.labels[label.Name], label.Values) })
 	}
 	return x.matched
 }
 
-// retain removes the matched entries that don't meet a condition. add adds those that do to an empty set.
-func (x *workerIndex) retain(add func(set bitSet)) {
+// retain removes the matched entries that neither meet a condition nor are in the set except. add adds those that meet
+// it to a set.
+func (x *workerIndex) retain(except bitSet, add func(set bitSet)) {
 	clear(x.condition)
+	x.condition.addAll(except)
 	add(x.condition)
 	x.matched.retain(x.condition)
 }
--- a/internal/route/workerindex_test.go
+++ b/internal/route/workerindex_test.go
@@ -102,7 +102,7 @@
 // A range of ordered entries is the same whether it is added one by one or between checkpoints.
 func TestRangesOfOrderedEntriesAreWhole(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
-		limit := rapid.IntRange(1, 5*checkpointInterval).Draw(t, "limit")
+		limit := rapid.IntRange(1, 5*minCheckpointInterval).Draw(t, "limit")
 		all := make([]int32, limit)
 		for i := range all {
 			all[i] = int32(i)
