Bound what a routes file takes in memory while it is checked

A valid file within the limits took a router with memory_mb 192 to 195 MB in a reload (a pool of 75,000 selectors, 2 MiB), and another one (18,800 policies, a route each) made a turn 85 ms long.

Cause: the limits count bytes of files and rules of the table. While a file is checked a block of a few bytes took 2 to 6 KB: two maps for its settings, and the syntax tree beside the blocks that were read from it. Near the memory limit the runtime collects garbage without a pause, on the loop's one core.

Evidence: the peak of the heap in a check was 139 MB for the selectors, 114 MB for the policies; the runtime's limit is 115 MB.

Change: the settings of a block are a list, with an index from 17 on; syntax is dropped when it has been read; a router refuses more than 32,768 blocks in all (with memory_mb 192, in proportion below), with the block that is too much.

Tests: TestBlocksAreLimitedTogether failed without the limit (no fault at 5, 3 and 2 blocks). The test of the block reader reads settings by their methods.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -45,11 +45,11 @@
 	return bytes * min(c.Limits.MemoryMB, referenceMemoryMB) / referenceMemoryMB
 }
 
-// shareOfMemory scales a bound in bytes, which is meant for a memory limit of referenceMemoryMB, to the actual limit.
-// The program's own memory is left out of both limits.
-func (c *Config) shareOfMemory(bytes int) int {
+// shareOfMemory scales a bound, which is meant for a memory limit of referenceMemoryMB, to the actual limit. The
+// program's own memory is left out of both limits.
+func (c *Config) shareOfMemory(bound int) int {
 	available := max(c.Limits.MemoryMB-programMB, 1)
-	return int(int64(bytes) * int64(available) / (referenceMemoryMB - programMB))
+	return int(int64(bound) * int64(available) / (referenceMemoryMB - programMB))
 }
 
 // MaxConcurrentRequests returns the limit on requests that are open at the same time.
--- a/internal/config/routing.go
+++ b/internal/config/routing.go
@@ -2,11 +2,12 @@
 
 import "crankhold/internal/lang"
 
-// Limits on the routes at a memory limit of referenceMemoryMB, in bytes. While they are replaced, two tables and what a
+// Limits on the routes at a memory limit of referenceMemoryMB. While they are replaced, two tables and what a
 // file is parsed into are in memory at once.
 const (
 	maxRoutesFileBytes  = 2 << 20
 	maxRoutesTableBytes = 16 << 20
+	maxRoutesBlocks     = 32 << 10 // which take some 2 KiB each while they are checked
 )
 
 // RoutingPlatform returns the platform's settings that routes may not contradict.
@@ -19,6 +20,7 @@
 		Zones:          c.Network.Zones,
 		LoadWindow:     c.Policy.LoadBudgetWindow,
 		MaxFileBytes:   c.shareOfMemory(maxRoutesFileBytes),
+		MaxBlocks:      c.shareOfMemory(maxRoutesBlocks),
 		MaxTableBytes:  c.shareOfMemory(maxRoutesTableBytes),
 	}
 	notIdempotent := c.NotIdempotent()
--- a/internal/lang/address.go
+++ b/internal/lang/address.go
@@ -15,7 +15,7 @@
 func blockAddresses(b *block) []workerAddress {
 	var addresses []workerAddress
 	for _, network := range networks {
-		for _, v := range b.values[network.String()] {
+		for _, v := range b.values(network.String()) {
 			addr, _ := endpoint.Parse(network, v.text) // validated by readAddress
 			addresses = append(addresses, workerAddress{addr, v.pos})
 		}
--- a/internal/lang/block.go
+++ b/internal/lang/block.go
@@ -50,35 +50,51 @@
 // listOf returns the type of a setting that takes one or more values.
 func listOf(read valueReader) settingType { return settingType{read: read, list: true} }
 
-// block is a block whose settings have been read. A setting without a valid value has a position but no value.
+// block is a block whose settings have been read.
 type block struct {
 	blockType *blockType
 	pos       syntax.Pos
 	source    *syntax.Source
 	name      string
-	values    map[string][]value    // by setting
-	positions map[string]syntax.Pos // by setting, for all settings that are present
+	settings  settingList
 	nested    []*block
 }
 
+// values returns the valid values of a setting.
+func (b *block) values(setting string) []value {
+	if s := b.settings.find(setting); s != nil {
+		return s.values
+	}
+	return nil
+}
+
+// position returns the position of a setting, which is not valid if the setting is not present.
+func (b *block) position(setting string) syntax.Pos {
+	if s := b.settings.find(setting); s != nil {
+		return s.pos
+	}
+	return syntax.Pos{}
+}
+
 // hasValue reports whether a setting is present and has a valid value.
-func (b *block) hasValue(setting string) bool { return len(b.values[setting]) > 0 }
+func (b *block) hasValue(setting string) bool { return len(b.values(setting)) > 0 }
 
 // isPresent reports whether a setting is present, even if its value is invalid.
-func (b *block) isPresent(setting string) bool { return b.positions[setting].Valid() }
+func (b *block) isPresent(setting string) bool { return b.settings.find(setting) != nil }
 
 // value returns the first value of a setting, or the zero value if it has none.
 func (b *block) value(setting string) value {
-	if !b.hasValue(setting) {
+	values := b.values(setting)
+	if len(values) == 0 {
 		return value{}
 	}
-	return b.values[setting][0]
+	return values[0]
 }
 
 // texts returns the values of a setting that takes a list of strings or words.
 func (b *block) texts(setting string) []string {
 	var texts []string
-	for _, v := range b.values[setting] {
+	for _, v := range b.values(setting) {
 		texts = append(texts, v.text)
 	}
 	return texts
--- a/internal/lang/check.go
+++ b/internal/lang/check.go
@@ -14,7 +14,8 @@
 func Check(fsys fs.FS, name, prefix string, platform *Platform) (*Result, error) {
 	l := newLoader(fsys, prefix, &reporter{})
 	if platform != nil {
-		l.maxBytes = platform.MaxFileBytes
+		l.size.maxBytes = platform.MaxFileBytes
+		l.size.maxBlocks = platform.MaxBlocks
 	}
 	if err := l.load(name, nil); err != nil {
 		return nil, &FileError{File: path.Join(prefix, name), Err: pathErrorReason(err)}
@@ -88,9 +89,11 @@
 	return r
 }
 
-// buildFile reads and builds the blocks of a file.
+// buildFile reads and builds the blocks of a file. It drops the file's entries one by one, so that a large file is not
+// in memory twice.
 func (c *checker) buildFile(file *syntax.File) {
-	for _, entry := range file.Entries {
+	for i, entry := range file.Entries {
+		file.Entries[i] = nil
 		syntaxBlock, ok := entry.(*syntax.Block)
 		if !ok {
 			continue
--- a/internal/lang/definingline.go
+++ b/internal/lang/definingline.go
@@ -1,7 +1,6 @@
 package lang
 
 import (
-	"maps"
 	"slices"
 	"strings"
 
@@ -16,8 +15,10 @@
 func (l definitionLines) addBlock(b *block) {
 	id := blockID{b.blockType.keyword, b.name}
 	l.add(id, b, b.pos)
-	for _, setting := range slices.Sorted(maps.Keys(b.positions)) {
-		l.add(id, b, b.positions[setting])
+	settings := slices.Clone(b.settings.list)
+	slices.SortFunc(settings, func(x, y *setting) int { return strings.Compare(x.name, y.name) })
+	for _, s := range settings {
+		l.add(id, b, s.pos)
 	}
 }
 
--- a/internal/lang/limits_test.go
+++ b/internal/lang/limits_test.go
@@ -33,6 +33,31 @@
 	}
 }
 
+// Blocks are counted over all files, with those within blocks, and the fault names the block that is too much. Guards
+// against a valid file of many small blocks, which takes many times its size in memory while it is checked.
+func TestBlocksAreLimitedTogether(t *testing.T) {
+	files := fstest.MapFS{
+		"main.crank": {Data: []byte("pool \"p\" {\n\tworkers { id = \"a\" }\n\tworkers { id = \"b\" }\n}\ninclude \"a.crank\"\ninclude \"b.crank\"\n")},
+		"a.crank":    {Data: []byte("route \"r\" { pool = \"p\" }\n")},
+		"b.crank":    {Data: []byte("worker \"a\" {\n\tlabels { rack = \"r\" }\n}\n")},
+	}
+	for maxBlocks, want := range map[int]string{
+		0: "",
+		6: "",
+		5: "b.crank:2:2: with this block the routes have more than 5 blocks",
+		3: "a.crank:1:1: with this block the routes have more than 3 blocks",
+		2: "main.crank:3:2: with this block the routes have more than 2 blocks",
+	} {
+		r, err := Check(files, "main.crank", "", &Platform{Classes: []Class{{Name: "a"}}, MaxBlocks: maxBlocks})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if want == "" && len(r.Faults) > 0 || !strings.HasPrefix(r.Faults.Error(), want) {
+			t.Errorf("limit of %d blocks: faults %v, want %q", maxBlocks, r.Faults, want)
+		}
+	}
+}
+
 // A table that takes more memory than the platform allows is a fault at the route that is too much.
 func TestTableIsLimited(t *testing.T) {
 	files := fstest.MapFS{"main.crank": {Data: []byte("pool \"p\" {}\nroute \"r\" { pool = \"p\" }\n")}}
--- a/internal/lang/load.go
+++ b/internal/lang/load.go
@@ -37,9 +37,8 @@
 	sources          map[string]*syntax.Source // by the file name in messages
 	includeChains    map[string][]string       // by file, the chain of includes that led to it
 	report           *reporter                 // receives syntax faults and include faults
-	fileLimitReached bool                      // maxFiles or maxBytes was reached: no more files are read
-	maxBytes         int                       // of all files together; 0: no limit
-	bytesRead        int                       // of all files together
+	fileLimitReached bool                      // maxFiles or a limit of size was reached: no more files are read
+	size             sizeLimits
 }
 
 func newLoader(fsys fs.FS, prefix string, report *reporter) *loader {
@@ -61,15 +60,18 @@
 	}
 	chain = append(slices.Clip(chain), name)
 	l.includeChains[name] = chain
-	l.bytesRead += len(text)
-	if l.maxBytes > 0 && l.bytesRead > l.maxBytes {
-		l.reportTooManyBytes(path.Join(l.prefix, name))
+	if fault, ok := l.size.addBytes(path.Join(l.prefix, name), len(text)); !ok {
+		l.stopAt(path.Join(l.prefix, name), fault)
 		return nil
 	}
 	file, source, faults := syntax.Parse(path.Join(l.prefix, name), text)
-	l.files = append(l.files, file)
 	l.sources[file.Name] = source
 	l.report.add(faults...)
+	if fault, ok := l.size.addBlocks(file.Entries); !ok {
+		l.stopAt(file.Name, fault)
+		return nil
+	}
+	l.files = append(l.files, file)
 	for _, entry := range file.Entries {
 		if include, ok := entry.(*syntax.Include); ok && !l.fileLimitReached {
 			l.include(&includeStatement{include, source, chain})
@@ -78,13 +80,9 @@
 	return nil
 }
 
-// reportTooManyBytes reports that the files are too large together, at the file that exceeds the limit.
-func (l *loader) reportTooManyBytes(name string) {
-	l.report.add(syntax.Fault{
-		Pos: syntax.Pos{File: name, Line: 1, Col: 1},
-		Msg: fmt.Sprintf("with this file the routes are larger than %d KB, which is the most for this router's "+
-			"memory; the rest was not read", l.maxBytes>>10),
-	})
+// stopAt reports that the files are too large with this one, which counts as empty, and reads no more files.
+func (l *loader) stopAt(name string, fault syntax.Fault) {
+	l.report.add(fault)
 	l.fileLimitReached = true
 	l.files = append(l.files, &syntax.File{Name: name})
 }
--- a/internal/lang/platform.go
+++ b/internal/lang/platform.go
@@ -13,6 +13,7 @@
 	Zones          []string           // of workers; empty: unknown
 	LoadWindow     time.Duration
 	MaxFileBytes   int // of all files together; 0: no limit
+	MaxBlocks      int // of all files together; 0: no limit
 	MaxTableBytes  int // see route.Spec.MaxBytes; 0: no limit
 }
 
--- a/internal/lang/policy.go
+++ b/internal/lang/policy.go
@@ -38,8 +38,10 @@
 
 func newPolicyBlock(b *block) *policyBlock {
 	p := &policyBlock{block: b, effective: map[string]effectiveSetting{}}
-	for setting := range b.values {
-		p.effective[setting] = effectiveSetting{b.value(setting), b}
+	for _, s := range b.settings.list {
+		if len(s.values) > 0 {
+			p.effective[s.name] = effectiveSetting{s.values[0], b}
+		}
 	}
 	return p
 }
@@ -154,6 +156,6 @@
 		}
 		inherited := base.effective[setting]
 		p.effective[setting] = inherited
-		b.linesByBlock.add(blockID{policyKeyword, p.name}, inherited.origin, inherited.origin.positions[setting])
+		b.linesByBlock.add(blockID{policyKeyword, p.name}, inherited.origin, inherited.origin.position(setting))
 	}
 }
--- a/internal/lang/pool.go
+++ b/internal/lang/pool.go
@@ -73,7 +73,7 @@
 // buildSelector builds a selector from a block within a pool. It reports a block without conditions.
 func (p *poolBuilder) buildSelector(b *block) route.Selector {
 	s := newSelector(b)
-	if len(b.positions) == 0 && len(s.Labels) == 0 {
+	if len(b.settings.list) == 0 && len(s.Labels) == 0 {
 		p.report.fault(b, b.pos, "workers picks nothing out: leave the block away for all workers")
 	}
 	return s
--- a/internal/lang/readblock.go
+++ b/internal/lang/readblock.go
@@ -37,8 +37,6 @@
 		blockType: t,
 		pos:       syntaxBlock.At,
 		source:    source,
-		values:    map[string][]value{},
-		positions: map[string]syntax.Pos{},
 	}
 	if !r.readName(b, syntaxBlock.Label) {
 		return nil
@@ -85,20 +83,20 @@
 		r.report.fault(b, setting.At, "unknown setting %s in %s%s", setting.Name, b.blockType.keyword, suggestion)
 		return
 	}
-	if first, ok := b.positions[setting.Name]; ok {
-		r.report.fault(b, setting.At, "%s is given twice, first at %v", setting.Name, first)
+	if b.isPresent(setting.Name) {
+		r.report.fault(b, setting.At, "%s is given twice, first at %v", setting.Name, b.position(setting.Name))
 		return
 	}
-	b.positions[setting.Name] = setting.At
+	added := b.settings.add(setting.Name, setting.At)
 	if len(setting.Values) > 1 && !t.list {
 		r.report.fault(b, setting.Values[1].At, "%s takes one value", setting.Name)
 		return
 	}
-	r.readValues(b, setting, t.read)
+	added.values = r.readValues(b, setting, t.read)
 }
 
 // readValues reads each value of a setting. It reports and leaves out invalid and repeated values.
-func (r *blockReader) readValues(b *block, setting *syntax.Setting, read valueReader) {
+func (r *blockReader) readValues(b *block, setting *syntax.Setting, read valueReader) (values []value) {
 	seen := map[string]bool{}
 	for _, raw := range setting.Values {
 		v, err := read(raw)
@@ -108,10 +106,11 @@
 		case seen[raw.Text()]:
 			r.report.fault(b, raw.At, "%s has %s twice", setting.Name, raw.Raw)
 		default:
-			b.values[setting.Name] = append(b.values[setting.Name], v)
+			values = append(values, v)
 		}
 		seen[raw.Text()] = true
 	}
+	return values
 }
 
 // readNested reads a block within a block.
--- a/internal/lang/readblock_test.go
+++ b/internal/lang/readblock_test.go
@@ -13,9 +13,9 @@
 	reader := &blockReader{report: report, sources: map[string]*syntax.Source{"f": source}}
 	b := reader.read(file.Entries[0].(*syntax.Block))
 	if b.hasValue(capSetting) || !b.isPresent(capSetting) || b.value(overflowSetting).number != 5 {
-		t.Errorf("settings %+v", b.values)
+		t.Errorf("settings %+v", b.settings.list)
 	}
-	if cells := b.nested[0].values[cellSetting]; len(cells) != 1 || cells[0].count != 1 {
+	if cells := b.nested[0].values(cellSetting); len(cells) != 1 || cells[0].count != 1 {
 		t.Errorf("cells %+v", cells)
 	}
 	report.sort()
--- a/internal/lang/route.go
+++ b/internal/lang/route.go
@@ -112,7 +112,7 @@
 	if len(classes) == 0 || !r.symbols.complete {
 		return
 	}
-	for _, v := range b.values[classSetting] {
+	for _, v := range b.values(classSetting) {
 		if !slices.Contains(classes, v.text) {
 			r.report.fault(b, v.pos, "no class %q%s", v.text, suggest(v.text, classes))
 		}
--- a/internal/lang/selector.go
+++ b/internal/lang/selector.go
@@ -29,12 +29,14 @@
 		Zones:    b.texts(zoneSetting),
 		MemoryMB: b.value(memoryAtLeastSetting).number,
 	}
-	for _, cell := range b.values[cellSetting] {
+	for _, cell := range b.values(cellSetting) {
 		s.Cells = append(s.Cells, cell.count)
 	}
 	for _, labels := range b.nested {
-		for name := range labels.values {
-			s.Labels = append(s.Labels, route.Label{Name: name, Values: labels.texts(name)})
+		for _, label := range labels.settings.list {
+			if len(label.values) > 0 {
+				s.Labels = append(s.Labels, route.Label{Name: label.name, Values: labels.texts(label.name)})
+			}
 		}
 	}
 	slices.SortFunc(s.Labels, func(a, b route.Label) int { return strings.Compare(a.Name, b.Name) })
--- a/internal/lang/worker.go
+++ b/internal/lang/worker.go
@@ -78,7 +78,7 @@
 		worker.Cell = policy.KnownGroup(b.value(cellSetting).count)
 	}
 	worker.Addrs = w.buildAddresses(b)
-	for _, v := range b.values[preferSetting] {
+	for _, v := range b.values(preferSetting) {
 		network, _ := endpoint.ParseNetwork(v.text) // validated by readOneOf
 		worker.Prefer = append(worker.Prefer, network)
 	}
@@ -109,14 +109,17 @@
 func (w *workerBuilder) buildLabels(b *block) map[string]string {
 	labels := map[string]string{}
 	for _, nested := range b.nested {
-		for name, values := range nested.values {
-			if len(values) > 1 {
-				w.report.fault(nested, values[1].pos, "a worker has one value of the label %s", name)
+		for _, label := range nested.settings.list {
+			if len(label.values) == 0 {
+				continue // reported when it was read
 			}
-			if _, duplicate := labels[name]; duplicate {
-				w.report.fault(nested, nested.positions[name], "label %s is given twice", name)
+			if len(label.values) > 1 {
+				w.report.fault(nested, label.values[1].pos, "a worker has one value of the label %s", label.name)
 			}
-			labels[name] = values[0].text
+			if _, duplicate := labels[label.name]; duplicate {
+				w.report.fault(nested, label.pos, "label %s is given twice", label.name)
+			}
+			labels[label.name] = label.values[0].text
 		}
 	}
 	return labels
@@ -127,7 +130,7 @@
 func (w *workerBuilder) checkListed(
 	b *block, setting, listName string, list []string, same func(a, b string) bool,
 ) {
-	for _, v := range b.values[setting] {
+	for _, v := range b.values(setting) {
 		isListed := slices.ContainsFunc(list, func(name string) bool { return same(name, v.text) })
 		if len(list) > 0 && !isListed {
 			w.report.fault(b, v.pos, "%s %q is none of %s%s", setting, v.text, listName, suggest(v.text, list))
