Serve on when the log can't be written, and count the lines that are lost

What callers saw: nothing in service; found beside the log whose reader stops. When the reader of the router's log had gone (a log collector that is restarted), the next line ended the router: open requests met a reset.

Cause: a write to a broken pipe on standard error ends a Go program with SIGPIPE. Errors of other writes (a full disk) were dropped without a trace.

Change: serve ignores SIGPIPE, so that the write fails.

Other commands still end when nobody reads their output.

--- a/internal/command/serve.go
+++ b/internal/command/serve.go
@@ -10,6 +10,7 @@
 	"crankhold/internal/config"
 	"crankhold/internal/logging"
 	"crankhold/internal/server"
+	"crankhold/internal/signals"
 )
 
 // operatorFile is an optional file with settings of the operators. The environment variable may name it; otherwise the
@@ -48,6 +49,7 @@
 	if err != nil {
 		return inputError(err)
 	}
+	signals.IgnoreBrokenPipe()
 	log := logging.NewBufferedWriter(env.Err)
 	defer log.Close(logCloseTimeout)
 	slog.SetDefault(logging.New(log, level))
--- a/internal/logging/buffered_test.go
+++ b/internal/logging/buffered_test.go
@@ -2,12 +2,12 @@
 
 import (
 	"bytes"
-	"fmt"
 	"log/slog"
 	"regexp"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 )
@@ -42,11 +42,26 @@
 	logger.Info("after the end")
 	reader.mu.Lock()
 	defer reader.mu.Unlock()
-	arrived := 0
-	dropped := 0
+	arrived, dropped := readLines(t, reader.read.String())
+	for i, line := range arrived {
+		if line.number != i+line.droppedBefore {
+			t.Fatalf("line %d follows %d lines and a report of %d dropped ones", line.number, i, line.droppedBefore)
+		}
+	}
+	if len(arrived)+dropped != lines || len(arrived) == 0 || dropped == 0 {
+		t.Errorf("%d lines arrived and %d were dropped, of %d", len(arrived), dropped, lines)
+	}
+}
+
+// arrivedLine is a line that arrived in a log, and how many lines were reported as dropped before it.
+type arrivedLine struct{ number, droppedBefore int }
+
+// readLines returns the lines that arrived in a log, which must be whole, and how many it says were dropped.
+func readLines(t *testing.T, log string) (arrived []arrivedLine, dropped int) {
+	t.Helper()
 	number := regexp.MustCompile(`event=counted number=(\d+) padding=x{100}$`)
 	count := regexp.MustCompile(`level=WARN event=log_lines_dropped count=(\d+)$`)
-	for line := range strings.Lines(reader.read.String()) {
+	for line := range strings.Lines(log) {
 		line = strings.TrimSuffix(line, "\n")
 		if match := count.FindStringSubmatch(line); match != nil {
 			n, _ := strconv.Atoi(match[1])
@@ -54,13 +69,61 @@
 			continue
 		}
 		match := number.FindStringSubmatch(line)
-		if match == nil || match[1] != fmt.Sprint(arrived) {
-			t.Fatalf("line %q, want number %d", line, arrived)
+		if match == nil {
+			t.Fatalf("line %q is not whole", line)
+		}
+		n, _ := strconv.Atoi(match[1])
+		arrived = append(arrived, arrivedLine{n, dropped})
+	}
+	return arrived, dropped
+}
+
+// fullDisk is a log file whose disk is full for a while: writes fail, after they have written one line of several.
+type fullDisk struct {
+	written bytes.Buffer
+	fails   int // writes that still fail
+}
+
+func (f *fullDisk) Write(lines []byte) (int, error) {
+	if f.fails == 0 {
+		return f.written.Write(lines)
+	}
+	f.fails--
+	first := bytes.IndexByte(lines, '\n') + 1
+	if first == len(lines) {
+		return 0, syscall.ENOSPC
+	}
+	f.written.Write(lines[:first])
+	return first, syscall.ENOSPC
+}
+
+// Lines that can't be written are counted as dropped once lines can be written again. Guards against a log that lacks
+// lines and doesn't say so.
+func TestLinesThatCannotBeWrittenAreCounted(t *testing.T) {
+	disk := &fullDisk{fails: 3}
+	w := NewBufferedWriter(disk)
+	logger := New(w, slog.LevelInfo)
+	const lines = 1000
+	padding := strings.Repeat("x", 100)
+	for i := range lines {
+		logger.Info("counted", slog.Int("number", i), slog.String("padding", padding))
+		if i%100 == 99 {
+			for waiting := true; waiting; { // until the lines are being written
+				w.mu.Lock()
+				waiting = w.pending.Len() > 0
+				w.mu.Unlock()
+			}
+		}
+	}
+	w.Close(time.Minute)
+	arrived, dropped := readLines(t, disk.written.String())
+	for i, line := range arrived {
+		if i > 0 && line.number <= arrived[i-1].number {
+			t.Errorf("line %d follows line %d", line.number, arrived[i-1].number)
 		}
-		arrived++
 	}
-	if arrived+dropped != lines || arrived == 0 || dropped == 0 {
-		t.Errorf("%d lines arrived and %d were dropped, of %d", arrived, dropped, lines)
+	if len(arrived)+dropped != lines || disk.fails > 0 || dropped == 0 {
+		t.Errorf("%d lines arrived and %d were dropped, of %d; %d writes did not fail", len(arrived), dropped, lines, disk.fails)
 	}
 }
 
--- a/internal/signals/signals.go
+++ b/internal/signals/signals.go
@@ -36,6 +36,10 @@
 	return s
 }
 
+// IgnoreBrokenPipe makes writes to a standard output or error that nobody reads any more fail, where they would end the
+// program. It is for a program that serves on without its log.
+func IgnoreBrokenPipe() { signal.Ignore(syscall.SIGPIPE) }
+
 // Close stops catching signals. Queued signals are dropped, because the work that they were meant for has completed.
 func (s *Signals) Close() {
 	signal.Stop(s.Stop)
