Keep an attempt with a key whose group isn't known when its worker is silent

What callers saw: nothing in service; found by reading what changed. A keyed request failed as soon as a health check of its worker did, although the worker would have responded in time, at sites whose entries tell no group.

Cause: when a health check fails, attempts are canceled that another worker may get. That looked at the class and its window alone. Since an unknown group is the same as nothing, no worker may get such a request again.

Evidence: TestAttemptOfAnUnknownGroupIsNotCanceledForARetry failed before with "zone {0}: canceled: true"; with a known zone it is canceled, as it should be.

Change: retryRules.mayBeDeduplicated is asked for both: whether a request that may have run waits for a worker, and whether its attempt is canceled for one.

--- a/policy/group_test.go
+++ b/policy/group_test.go
@@ -1,6 +1,9 @@
 package policy
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // A group that isn't known is the same as no group, itself included: it is the zero value, which an entry without a
 // zone or a cell has.
@@ -70,3 +73,57 @@
 		})
 	}
 }
+
+// An attempt with a key at a worker that does not respond to its health check is canceled for a retry only where its
+// group is known. Guards against a request that fails at once because its attempt was canceled for a retry that no
+// worker may get, while its worker would still have responded.
+func TestAttemptOfAnUnknownGroupIsNotCanceledForARetry(t *testing.T) {
+	for _, zone := range []Group{{}, KnownGroup(0)} {
+		cfg := config()
+		cfg.Classes[1].DeduplicationWindow = 4 * time.Second
+		h := newHarness(t, cfg, 0)
+		list := EndpointList{Kind: EndpointSnapshot}
+		for w := range WorkerID(4) {
+			list.Workers = append(list.Workers, Endpoint{Worker: w + 1, State: Ready, Weight: 1, Zone: zone})
+		}
+		h.handle(list)
+		id, actions := h.arrive(1, 7)
+		start, ok := first[StartAttempt](actions)
+		if !ok {
+			t.Fatalf("actions %v", actions)
+		}
+		canceled := h.failHealthChecks(start.Worker, 60)
+		if canceled != zone.IsKnown() {
+			t.Errorf("zone %v: canceled: %v", zone, canceled)
+		}
+		if canceled {
+			continue
+		}
+		actions = h.handle(AttemptCompleted{Request: id, Worker: start.Worker, Outcome: Served, RequestClosed: true, Took: time.Second})
+		if has[FailRequest](actions) || has[Reject](actions) {
+			t.Errorf("a late response is not used: %v", actions)
+		}
+	}
+}
+
+// failHealthChecks does some rounds of housekeeping, in which only the health checks of one worker fail. It reports
+// whether an attempt was canceled, and stops then.
+func (h *harness) failHealthChecks(w WorkerID, rounds int) (canceled bool) {
+	for range rounds {
+		h.now += housekeepingInterval
+		for _, a := range h.handle(TimerFired{Token: housekeepingToken}) {
+			check, ok := a.(CheckHealth)
+			if !ok {
+				continue
+			}
+			outcome := Served
+			if check.Worker == w {
+				outcome = TimedOut
+			}
+			if has[CancelAttempt](h.handle(HealthCheckCompleted{Worker: check.Worker, Outcome: outcome})) {
+				return true
+			}
+		}
+	}
+	return false
+}
--- a/policy/retry_rules.go
+++ b/policy/retry_rules.go
@@ -58,14 +58,16 @@
 // deduplicates reports whether a worker drops a retry of a request that may have run. If w is nil, it reports
 // whether any worker may do so, including one that is listed later.
 func (rules retryRules) deduplicates(r *request, w *worker) bool {
-	if r.class.DeduplicationScope == DeduplicatedEverywhere {
-		return true
-	}
-	group := r.firstPossibleRun.group
 	if w == nil {
-		return group.IsKnown()
+		return rules.mayBeDeduplicated(r.class, r.firstPossibleRun)
 	}
-	return group.Same(w.deduplicationGroup(r.class.DeduplicationScope))
+	scope := r.class.DeduplicationScope
+	return scope == DeduplicatedEverywhere || r.firstPossibleRun.group.Same(w.deduplicationGroup(scope))
+}
+
+// mayBeDeduplicated reports whether there may be workers that drop a retry of an attempt of a class.
+func (rules retryRules) mayBeDeduplicated(class *classState, a *attempt) bool {
+	return class.DeduplicationScope == DeduplicatedEverywhere || a.group.IsKnown()
 }
 
 // deduplicatedUntil returns the time until which workers drop a retry of a request that may have run.
@@ -90,7 +92,8 @@
 	case Idempotent:
 		return true
 	case IdempotentWithKey:
-		return now < a.startedAt+r.class.DeduplicationWindow-2*rules.cfg.Tick
+		windowEnd := a.startedAt + r.class.DeduplicationWindow
+		return now < windowEnd-2*rules.cfg.Tick && rules.mayBeDeduplicated(r.class, a)
 	default:
 		return false
 	}
