Report what a comparison of routes has found when it stops at its limit

What callers saw: nothing in service; found by a reload of files whose differences are a product (5,000 tenants with a policy each, 7,000 functions with a tenant each). It logged changes=0 and compared_all=false, though every tenant's limit had changed.

Cause: the limit on steps was one for all stages. Where it was reached while the effects of patterns were collected, nothing was left to describe them.

Evidence: TestDiffThatStopsReportsWhatItHasFound failed before with "complete: false, 0 changes".

Change: a third of the limit for each stage (collecting, covering, describing), and a comparison is incomplete if any of them has stopped.

Why it works: what was collected before the stop is still described, and only that: patterns that were not reached are left out of the regions.

--- a/internal/route/diff.go
+++ b/internal/route/diff.go
@@ -83,7 +83,7 @@
 		updated:       updated,
 		notIdempotent: notIdempotent,
 		replaced:      matchPools(old.pools, updated.pools),
-		work:          &workLimit{limit: maxSteps},
+		work:          newWorkLimit(maxSteps, groupingStages),
 		effects:       make([]requestEffects, 1), // the first one is noEffect
 		effectIDs:     map[requestEffects]effectID{},
 		routeEffects:  map[routePair]effectID{},
@@ -93,7 +93,7 @@
 // compare returns the changes that affect requests, followed by those of pools.
 func (c *tableComparison) compare(otherClasses bool) Comparison {
 	changes := c.requestChanges(otherClasses)
-	return Comparison{Changes: append(changes, c.poolChanges()...), Complete: !c.work.exceeded()}
+	return Comparison{Changes: append(changes, c.poolChanges()...), Complete: !c.work.incomplete()}
 }
 
 // requestChanges returns the changes that affect requests.
--- a/internal/route/diff_size_test.go
+++ b/internal/route/diff_size_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 )
 
 // functionsAndTenants returns a table of routes that name a function each and routes that name a tenant each. Requests
@@ -135,6 +136,42 @@
 	}
 }
 
+// A comparison that stops while it goes through the routes reports the changes that it has found up to there. Guards
+// against a reload that says that nothing has changed because too much has.
+func TestDiffThatStopsReportsWhatItHasFound(t *testing.T) {
+	const tenants, functions = 100, 300
+	products := func(attempts int) *Table {
+		s := &Spec{Pools: []PoolSpec{unlimitedPool("all")}}
+		for i := range tenants {
+			p := NoPolicy
+			p.Name = fmt.Sprint("p", i)
+			p.MaxAttempts = attempts
+			p.AttemptTimeout = time.Duration(i+1) * time.Second
+			s.Policies = append(s.Policies, p)
+			s.Routes = append(s.Routes, RouteSpec{Name: fmt.Sprint("t", i), Pool: "all", Policy: p.Name, Tenants: []string{fmt.Sprint(i)}})
+		}
+		for i := range functions {
+			function := Pattern{Prefix: uint64(i), Digits: functionDigits}
+			s.Routes = append(s.Routes, RouteSpec{Name: fmt.Sprint("f", i), Pool: "all", Functions: []Pattern{function}, Tenants: []string{fmt.Sprint(i % tenants)}})
+		}
+		s.Routes = append(s.Routes, RouteSpec{Name: "rest", Pool: "all"})
+		return mustCompile(t, s)
+	}
+	old, updated := products(2), products(3)
+	const columns = 20 // of how many functions the comparison may go through
+	updated.maxBytes = columns * tenants * bytesPerStep * groupingStages
+	comparison := DiffWithinLimit(old, updated, notIdempotent, false)
+	if comparison.Complete || len(comparison.Changes) == 0 {
+		t.Errorf("complete: %v, %d changes", comparison.Complete, len(comparison.Changes))
+	}
+	for _, change := range comparison.Changes {
+		r := change.Regions[0].Example.Request
+		if old.Match(r).Policy == updated.Match(r).Policy {
+			t.Errorf("%v does not change", change.Regions[0].Example)
+		}
+	}
+}
+
 // A spec whose table would take too much memory is refused before it is compiled, with the route that is too much.
 func TestCompileRefusesATableThatTakesTooMuchMemory(t *testing.T) {
 	s := &Spec{Pools: []PoolSpec{unlimitedPool("all")}, MaxBytes: 1 << 20}
--- a/internal/route/reachable.go
+++ b/internal/route/reachable.go
@@ -5,7 +5,7 @@
 // large that not all routes were tested; those count as reachable.
 func (t *Table) Reachable() (reached [][]bool, complete bool) {
 	r := newReachability(t)
-	return r.ofRoutes(), !r.work.exceeded()
+	return r.ofRoutes(), !r.work.incomplete()
 }
 
 // reachability finds out which classes reach the routes of a table. It tests requests for a few functions of each
@@ -26,7 +26,7 @@
 func newReachability(t *Table) *reachability {
 	return &reachability{
 		table:     t,
-		work:      t.newWorkLimit(),
+		work:      newWorkLimit(t.checkSteps(), 1),
 		functions: map[Pattern][]uint64{},
 		open:      map[patternIndex][]uint64{},
 	}
--- a/internal/route/space.go
+++ b/internal/route/space.go
@@ -83,6 +83,10 @@
 	regions []Region
 }
 
+// groupingStages is the number of stages of groupRequests: it collects the effects of patterns in rows, covers the rows
+// with boxes, and describes the boxes.
+const groupingStages = 3
+
 // groupRequests groups the requests of a space by their effects. It leaves out those with noEffect. The regions of a
 // group, and the groups by their first regions, are in the order of their examples. If the space's workLimit is
 // reached, the groups lack some requests.
@@ -99,5 +103,8 @@
 			next++
 		}
 	}
-	return s.describe(rows.cover())
+	s.work.beginStage()
+	boxes := rows.cover()
+	s.work.beginStage()
+	return s.describe(boxes)
 }
--- a/internal/route/unmatched.go
+++ b/internal/route/unmatched.go
@@ -4,7 +4,7 @@
 // classes that the table does not list. complete is false if the table is so large that some regions are left out.
 func (t *Table) UnmatchedRegions(otherClasses bool) (regions []Region, complete bool) {
 	const unmatched effectID = 1
-	work := t.newWorkLimit()
+	work := newWorkLimit(t.checkSteps(), groupingStages)
 	s := newRequestSpace(otherClasses, work, t)
 	matched := make([]routeIndex, len(t.routes)) // how a request is matched makes no difference
 	effects := newEffectColumns(s, nil, newTableColumns(s, t, matched))
@@ -17,5 +17,5 @@
 	for _, group := range s.groupRequests(effects) {
 		regions = append(regions, group.regions...)
 	}
-	return regions, !work.exceeded()
+	return regions, !work.incomplete()
 }
