--- a/internal/lang/doc.go
+++ b/internal/lang/doc.go
@@ -3,9 +3,10 @@
 //
 // Check works in steps, each of which reports its faults to a reporter and continues:
 //
-//  1. loader reads the first file and all files that it includes (load.go, include.go).
-//  2. blockReader reads the settings of each block according to its blockType (block.go, settings.go, readblock.go,
-//     values.go, units.go).
+//  1. loader reads the first file and all files that it includes, up to the sizeLimits of the router's memory (load.go,
+//     include.go, sizelimits.go).
+//  2. blockReader reads the settings of each block according to its blockType, and drops the block's syntax (block.go,
+//     settinglist.go, settings.go, readblock.go, values.go, units.go).
 //  3. symbolTable records the names of the blocks (symbols.go), and definitionLines records the lines that the command
 //     explain shows (definingline.go).
 //  4. A blockBuilder for each keyword builds its part of the Spec (builder.go, worker.go, class.go, route.go, pool.go,
--- a/internal/route/doc.go
+++ b/internal/route/doc.go
@@ -77,7 +77,7 @@
 //   - compile.go, compilepools.go, errors.go: compiling a Spec into a Table, and the errors
 //   - table.go, matchrule.go, matcher.go, precedence.go: finding the route of a request
 //   - pool.go, overflow.go, loads.go, window.go, carryover.go: counters and limits of pools
-//   - worker.go, workerindex.go: the workers of pools
+//   - worker.go, workerindex.go, valueindex.go, workerset.go, bitset.go, possibleworkers.go: the workers of pools
 //   - space.go, column.go, tablecolumns.go, effectcolumns.go, rows.go, box.go, spaceregion.go, tenants.go,
 //     patternset.go: sets of requests that the tables can tell apart
 //   - tablesize.go, worklimit.go, limitedtext.go: limits on memory, work and texts
