--- a/internal/logging/logging.go
+++ b/internal/logging/logging.go
@@ -1,6 +1,7 @@
 // Package logging sets the format of the program's log lines: that of the text handler of log/slog, with the time of
 // day to the microsecond, and the message under the key "event". A BufferedWriter keeps a slow reader of the log from
-// holding up the goroutines that log. The package imports only the standard library. Other packages log through log/slog.
+// holding up the goroutines that log. The package imports only the standard library. Other packages log through
+// log/slog.
 package logging
 
 import (
--- a/internal/server/doc.go
+++ b/internal/server/doc.go
@@ -21,9 +21,9 @@
 //
 // On SIGHUP, the router reads the configuration and the routes file again. A reloader reads and checks both, and
 // compares the routes with the current ones, on its own goroutine. It applies them in one turn of the event loop, whose
-// work grows with the pools and the workers, but not with the routes. Only the discovery server's address and the routes change; other settings that
-// differ are logged as config_restart_required. An invalid file changes nothing, and open requests complete under the
-// routes that were in force when they started.
+// work grows with the pools and the workers, but not with the routes. Only the discovery server's address and the
+// routes change; other settings that differ are logged as config_restart_required. An invalid file changes nothing, and
+// open requests complete under the routes that were in force when they started.
 //
 // # Graceful shutdown
 //
