Bound the functions and replicas that clients can name

Related: the load budget's window kept one time for each request, load commands in flight had no bound of their own, and canceled requests whose attempts run on counted against nothing.

Change: both tables have a limit that follows from memory_mb and replace what was used least recently, never what is in use (named by an open request, loaded, in flight). An entry that says no more than "no replica" goes when its attempt ends. Counters show the tables.

Tests: archtest's list of pure packages gets container/list, a data structure without I/O or clock. The fixture of TestRequestsLeaveTheTableWhenCompleteAndNothingIsInFlight names a function, and also checks the count of its open requests. TestSlidingWindow looks at the entries in place of the times, with the same bound.

--- a/internal/archtest/arch_test.go
+++ b/internal/archtest/arch_test.go
@@ -19,7 +19,7 @@
 
 // purePackages are the packages of the standard library that decisionPackages may import: they do no I/O and read no
 // clock. Package time is among them because of its types; impureCalls lists its functions that read the clock.
-var purePackages = []string{"bytes", "cmp", "container/heap", "encoding/binary", "errors", "fmt", "iter", "maps", "math", "math/bits",
+var purePackages = []string{"bytes", "cmp", "container/heap", "container/list", "encoding/binary", "errors", "fmt", "iter", "maps", "math", "math/bits",
 	"math/rand/v2", "slices", "sort", "strconv", "strings", "time", "unicode", "unicode/utf8", "net/netip"}
 
 // transportPackages handle sockets, files or the platform. The core and decisionPackages may not import them.
--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -24,6 +24,11 @@
 	// request, without its body, they take a sixteenth of the memory.
 	requestsPerMB = 32
 
+	// maxFunctions and maxReplicas are the functions, and the replicas at workers, for which estimates are kept at a
+	// memory limit of referenceMemoryMB.
+	maxFunctions = 48 << 10
+	maxReplicas  = 24 << 10
+
 	// maxRejectionRetryAfter limits the Retry-After of requests that are rejected for lack of capacity.
 	maxRejectionRetryAfter = time.Second
 )
@@ -57,6 +62,12 @@
 	return min(c.Network.Limits.MaxOpenRequests, c.Limits.MemoryMB*requestsPerMB)
 }
 
+// MaxFunctions returns the limit on the functions for which estimates are kept.
+func (c *Config) MaxFunctions() int { return c.ScaleToMemory(maxFunctions) }
+
+// MaxReplicas returns the limit on the replicas at workers for which estimates are kept.
+func (c *Config) MaxReplicas() int { return c.ScaleToMemory(maxReplicas) }
+
 // RejectionRetryAfter returns the Retry-After of requests that are rejected for lack of capacity, or 0 if the settings
 // allow none.
 func (c *Config) RejectionRetryAfter() time.Duration {
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -133,6 +133,9 @@
 	c.commands.healthCheckCompleted(commandID, outcome, report)
 }
 
+// TableCounters returns the counters of the decision module's tables.
+func (c *Core) TableCounters() policy.TableCounters { return c.policy.TableCounters() }
+
 // SetEndpoints passes the endpoint list, or a change of it, to the decision module.
 func (c *Core) SetEndpoints(l policy.EndpointList) { c.events.add(l) }
 
--- a/internal/router/requesttable.go
+++ b/internal/router/requesttable.go
@@ -8,6 +8,9 @@
 	"crankhold/policy"
 )
 
+// maxTrackedPerOpen limits the requests in the table, as a multiple of those that may be open.
+const maxTrackedPerOpen = 2
+
 // trackedRequest is a request in the request table. It has no final response yet, or attempts of it are in flight.
 type trackedRequest struct {
 	id         policy.RequestID
@@ -62,8 +65,12 @@
 	}
 }
 
-// hasCapacity reports whether the limits allow one more request with a body of the given size.
+// hasCapacity reports whether the limits allow one more request with a body of the given size. Requests whose clients
+// have canceled them stay in the table until their attempts have ended. They may be as many as the open ones.
 func (t *requestTable) hasCapacity(limits *Limits, bodySize int) bool {
+	if len(t.requests) >= maxTrackedPerOpen*limits.MaxConcurrentRequests {
+		return false
+	}
 	return t.openCount < limits.MaxConcurrentRequests && t.openBytes+bodySize <= limits.MaxBytes
 }
 
--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -33,6 +33,7 @@
 	if err != nil {
 		return nil, err
 	}
+	scheduler.LimitTables(policy.TableLimits{Functions: cfg.MaxFunctions(), Replicas: cfg.MaxReplicas()})
 	if options.Logger == nil {
 		options.Logger = slog.Default()
 	}
--- a/internal/server/counters.go
+++ b/internal/server/counters.go
@@ -18,6 +18,7 @@
 func (s *Server) logCounters() {
 	s.logRequestCounters()
 	s.logWorkerCounters()
+	s.logTableCounters()
 	s.logPoolCounters()
 	s.logLoopCounters()
 	s.integrations.logCounters()
@@ -104,6 +105,16 @@
 	}
 }
 
+// logTableCounters logs how full the decision module's tables are.
+func (s *Server) logTableCounters() {
+	counters := s.core.TableCounters()
+	logCounterLine(s.logger,
+		slog.Int("functions", counters.Functions),
+		slog.Uint64("functions_evicted", counters.FunctionsEvicted),
+		slog.Int("replicas", counters.Replicas),
+		slog.Uint64("replicas_evicted", counters.ReplicasEvicted))
+}
+
 // logPoolCounters logs one line for each pool of the routes in force.
 func (s *Server) logPoolCounters() {
 	table := s.core.Routes()
--- a/internal/stats/stats_test.go
+++ b/internal/stats/stats_test.go
@@ -125,8 +125,8 @@
 			t.Fatalf("%d events at %v, want %d", got, at*time.Second, want)
 		}
 	}
-	if len(window.times) > 2*compactThreshold+11 {
-		t.Errorf("%d times are stored, so dropped times were not released", len(window.times))
+	if len(window.entries) > 2*compactThreshold+11 {
+		t.Errorf("%d times are stored, so dropped times were not released", len(window.entries))
 	}
 	window.Remove(995 * time.Second)
 	window.Remove(995 * time.Second) // already removed
@@ -135,3 +135,19 @@
 		t.Errorf("%d events after a removal, want 9", got)
 	}
 }
+
+// Guards against a window that grows with the rate of requests: clients choose the rate.
+func TestSlidingWindowIsBoundedHoweverManyEventsItCounts(t *testing.T) {
+	var window SlidingWindow
+	const events = 4 * maxWindowEntries
+	for at := time.Duration(0); at < events; at++ {
+		window.Add(at, time.Hour)
+		window.Add(at, time.Hour)
+	}
+	if got := window.CountSince(0); got != 2*events || !window.IsFull() || len(window.entries) > maxWindowEntries {
+		t.Errorf("%d events counted in %d entries, want %d in at most %d", got, len(window.entries), 2*events, maxWindowEntries)
+	}
+	if got := window.CountSince(maxWindowEntries); got != 0 {
+		t.Errorf("%d events are counted as later than they happened", got)
+	}
+}
--- a/policy/assembly.go
+++ b/policy/assembly.go
@@ -99,6 +99,7 @@
 		cfg:       s.cfg,
 		turn:      s.turn,
 		workers:   &s.tables.workers,
+		replicas:  &s.tables.replicas,
 		estimator: s.estimator,
 		budget:    s.budget,
 		breaker:   s.breaker,
--- a/policy/attempt_starter.go
+++ b/policy/attempt_starter.go
@@ -16,10 +16,10 @@
 func (s *attemptStarter) start(r *request, chosen placement) {
 	w := chosen.worker
 	load := s.estimator.expectedLoadTime(s.turn.now, w, r)
-	entry := s.replicas.get(w, r.function.id)
 	if !s.turn.emit(s.action(r, w)) {
 		return
 	}
+	entry := s.replicas.get(w, r.function.id)
 	a := &attempt{
 		request:         r,
 		worker:          w,
--- a/policy/housekeeping.go
+++ b/policy/housekeeping.go
@@ -1,7 +1,6 @@
 package policy
 
 import (
-	"maps"
 	"slices"
 	"time"
 )
@@ -41,28 +40,35 @@
 	p.workers.removeGone(p.replicas.removeWorker)
 	p.endpoints.updateCapacities()
 	for _, w := range p.workers.fleet {
-		for _, id := range slices.Sorted(maps.Keys(w.replicas)) { // equal events must give equal actions
-			p.sweepReplica(w, id)
-		}
+		p.sweepReplicas(w)
 	}
 	p.functions.forgetUnused(p.now)
 }
 
-// sweepReplica removes the entry of an idle replica whose keep-alive is over. A replica that has been idle
-// for longer than its function's idleLimit is unloaded earlier.
-func (p *Policy) sweepReplica(w *worker, id FunctionID) {
-	entry := w.replicas[id]
-	if entry.inFlight > 0 || entry.loadPending || p.now <= entry.loadDue {
-		return
+// sweepReplicas removes the entries of a worker's idle replicas whose keep-alive is over. A replica that has been
+// idle for longer than its function's idleLimit is unloaded earlier.
+func (p *Policy) sweepReplicas(w *worker) {
+	p.maintenance.idleBuffer = p.maintenance.idleBuffer[:0]
+	for id, entry := range w.replicas {
+		if !entry.inUse() && p.now > entry.loadDue && (entry.loadedUntil < p.now || p.idleTooLong(entry)) {
+			p.maintenance.idleBuffer = append(p.maintenance.idleBuffer, id)
+		}
 	}
-	remaining := entry.loadedUntil - p.now
-	f := p.functions.get(id)
-	idleTooLong := f != nil && remaining+f.idleLimit < p.cfg.KeepAlive
-	if remaining < 0 || idleTooLong && p.emit(Unload{Worker: w.Worker, Function: id}) {
-		p.replicas.remove(id, w)
+	slices.Sort(p.maintenance.idleBuffer) // equal events must give equal actions
+	for _, id := range p.maintenance.idleBuffer {
+		expired := w.replicas[id].loadedUntil < p.now
+		if expired || p.emit(Unload{Worker: w.Worker, Function: id}) {
+			p.replicas.remove(id, w)
+		}
 	}
 }
 
+// idleTooLong reports whether an idle replica is no longer worth its memory.
+func (p *Policy) idleTooLong(entry *replica) bool {
+	f := p.functions.get(entry.function)
+	return f != nil && entry.loadedUntil-p.now+f.idleLimit < p.cfg.KeepAlive
+}
+
 // gossipReceived records the replicas that another router reports as loaded.
 func (p *Policy) gossipReceived(e GossipReceived) {
 	for id, f := range gossipedReplicas(e.Data) {
--- a/policy/loader.go
+++ b/policy/loader.go
@@ -14,6 +14,7 @@
 	cfg       *Config
 	turn      *turn
 	workers   *workerTable
+	replicas  *replicaTable
 	estimator *latencyEstimator
 	budget    *loadBudget
 	breaker   *loadBreaker
@@ -36,6 +37,9 @@
 
 // send sends a load command if the pool's and the router's load budget allow it, and reports whether it did.
 func (l *loader) send(r *request, entry *replica) bool {
+	if l.replicas.tooManyLoads() {
+		return false
+	}
 	if l.budget.bounded() && !r.pool.MayLoad(l.turn.now, l.budget.allowance(l.turn.now)) {
 		return false
 	}
@@ -44,8 +48,7 @@
 	}
 	l.budget.recordCommand(l.turn.now)
 	r.pool.LoadStarted(l.turn.now)
-	entry.worker.pendingLoads++
-	entry.loadPending = true
+	l.replicas.loadStarted(entry)
 	entry.loadDue = l.turn.now + l.estimator.fullLoadTime(r.function).duration()
 	return true
 }
@@ -53,10 +56,9 @@
 // recordResult records the result of a load command and returns the requests that waited for it.
 func (l *loader) recordResult(entry *replica, f *function, e LoadCompleted) (waiting []*request) {
 	waiting = entry.waiting
-	entry.loadPending = false
+	l.replicas.loadEnded(entry)
 	entry.loadDue = 0
 	entry.waiting = nil
-	entry.worker.pendingLoads--
 	switch e.Outcome {
 	case Served:
 		l.recordLoaded(entry, f, e.Took)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -40,8 +40,9 @@
 
 // maintenance records the progress of recurring work.
 type maintenance struct {
-	started   bool          // the timer of the first housekeeping was set
-	lastSweep time.Duration // time of the last sweep
+	started    bool          // the timer of the first housekeeping was set
+	lastSweep  time.Duration // time of the last sweep
+	idleBuffer []FunctionID  // for the sweep of a worker's replicas
 }
 
 // New returns a Policy for one router. All its random choices are derived from seed. It returns a
@@ -52,11 +53,11 @@
 	}
 	cfg.Routers = max(cfg.Routers, 1)
 	p := &Policy{cfg: cfg, tables: tables{
-		classes:   newClassStates(cfg.Classes),
-		functions: functionTable{byID: map[FunctionID]*function{}},
-		requests:  requestTable{byID: map[RequestID]*request{}},
-		workers:   workerTable{byID: map[WorkerID]*worker{}},
+		classes:  newClassStates(cfg.Classes),
+		requests: requestTable{byID: map[RequestID]*request{}},
+		workers:  workerTable{byID: map[WorkerID]*worker{}},
 	}}
+	p.functions = newFunctionTable(&p.replicas)
 	p.assemble(rand.New(rand.NewPCG(seed, randomStream)), WorkerID(seed))
 	return p, nil
 }
@@ -137,6 +138,7 @@
 		}
 		p.schedule(r)
 	}
+	p.replicas.removeIfBlank(f.id, w)
 }
 
 // healthCheckCompleted records the result of a health check.
--- a/policy/request_table.go
+++ b/policy/request_table.go
@@ -57,8 +57,9 @@
 
 // removeIfComplete removes a request if it is complete and has no attempt in flight.
 func (t *requestTable) removeIfComplete(r *request) {
-	if r.complete && r.inFlight == 0 {
+	if r.complete && r.inFlight == 0 && t.byID[r.Request] == r {
 		delete(t.byID, r.Request)
+		r.function.openRequests--
 	}
 }
 
--- a/policy/requests.go
+++ b/policy/requests.go
@@ -32,6 +32,7 @@
 		overQuota:      p.quotas.exceeded(p.now, e.Tenant),
 	}
 	p.requests.add(r)
+	f.openRequests++
 	f.idleLimit = p.loads.idleLimit(r)
 	p.emit(SetTimer{After: max(e.Remaining-p.deadlineMargin(), 0), Token: deadlineTokenOf(r)})
 	p.schedule(r)
@@ -99,6 +100,7 @@
 	case r.inFlight == 0:
 		p.continueRequest(r, entry, e.Outcome)
 	}
+	p.replicas.removeIfBlank(r.function.id, a.worker)
 }
 
 // completeAttempt records that an attempt is no longer in flight, and whether its request may be sent to the
--- a/policy/tables_test.go
+++ b/policy/tables_test.go
@@ -57,18 +57,19 @@
 
 func TestRequestsLeaveTheTableWhenCompleteAndNothingIsInFlight(t *testing.T) {
 	table := requestTable{byID: map[RequestID]*request{}}
-	r := &request{RequestArrived: RequestArrived{Request: 5}, attempts: []*attempt{{completed: true}, {}}, inFlight: 1}
+	r := &request{RequestArrived: RequestArrived{Request: 5}, attempts: []*attempt{{completed: true}, {}}, inFlight: 1, function: &function{openRequests: 1}}
 	table.add(r)
 	if table.findAttempt(5, 0) != nil || table.findAttempt(5, 1) != r.attempts[1] || table.findAttempt(5, 2) != nil {
 		t.Error("a completed attempt is found, or one in flight is not")
 	}
 	r.complete = true
-	if table.removeIfComplete(r); table.get(5) == nil {
+	if table.removeIfComplete(r); table.get(5) == nil || r.function.openRequests != 1 {
 		t.Error("a request is removed while an attempt is in flight")
 	}
 	r.inFlight = 0
-	if table.removeIfComplete(r); table.get(5) != nil {
-		t.Error("a completed request without attempts in flight is not removed")
+	table.removeIfComplete(r)
+	if table.removeIfComplete(r); table.get(5) != nil || r.function.openRequests != 0 {
+		t.Error("a completed request without attempts in flight is not removed, or is removed twice")
 	}
 	table.deferUntilHousekeeping(r)
 	if got := table.takeDeferred(); len(got) != 1 || len(table.takeDeferred()) != 0 {
@@ -77,7 +78,7 @@
 }
 
 func TestFunctionsDecayAndAreForgotten(t *testing.T) {
-	table := functionTable{byID: map[FunctionID]*function{}}
+	table := newFunctionTable(&replicaTable{})
 	class := &classState{Class: Class{LatencyObjective: 400 * ms}}
 	now := time.Hour
 	f := table.recordRequest(now, RequestArrived{Function: 7}, class)
