Handle clients' data in rotation, behind all other events

Cause: one queue for all connections, first come, first served, bounded in bytes only. A client's message, a worker's response and the end of a connection stood behind all that any client had sent, and a full queue held up the poller for every connection. The poller also read a closed client to its end before it told the close.

Change: data of accepted connections waits in an inbox for each, and a connection whose inbox is full is not read. Polling is edge-triggered, so that an unread connection costs nothing; the loop reads it on in its turn. What a client that has gone left unread is dropped. The longest wait is a counter.

Tests: where a full queue used to hold the poller up by clients' data, data of dialed connections does so now, since clients' data no longer can; what is asserted is as before. TestReaderStopsOnceItIsDrained also covers a paused connection.

--- a/internal/eventloop/clients_test.go
+++ b/internal/eventloop/clients_test.go
@@ -98,17 +98,11 @@
 func TestUnreadRequestIsHandledBeforeConnectionIsClosedForCapacity(t *testing.T) {
 	accepted := make(chan *echoHandler, 10)
 	l := startWith(t, oneByteQueue(2), acceptInto(accepted, false))
-	idle, flood := dial(t, l), dial(t, l)
-	<-accepted
+	idle := dial(t, l)
 	<-accepted
+	peers := dialPeers(t, l)
 	release := blockLoop(l)
-	for range 3 { // the poller blocks on the third byte and reads nothing more until the loop resumes
-		if _, err := flood.Write([]byte("x")); err != nil {
-			t.Fatal(err)
-		}
-		time.Sleep(5 * time.Millisecond)
-	}
-	awaitQueuedBytes(l, 2)
+	fillQueue(t, l, peers) // the poller reads nothing more until the loop resumes
 	if _, err := idle.Write([]byte("request")); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/eventloop/close_test.go
+++ b/internal/eventloop/close_test.go
@@ -42,6 +42,7 @@
 		t.Fatal(err)
 	}
 	clients := []net.Conn{dial(t, l), dial(t, l), dial(t, l)}
+	peers := dialPeers(t, l)
 	release := blockLoop(l, func() {
 		l.Stop()
 		l.Dial("tcp", "192.0.2.1:80", time.Minute, newDialRecorder()) // an address that does not respond
@@ -51,7 +52,7 @@
 			t.Fatal(err)
 		}
 	}
-	awaitQueuedBytes(l, 2) // the poller blocks on the third byte, because the queue is full
+	fillQueue(t, l, peers) // the poller blocks on the third byte
 	release()
 	<-done
 	requireNoLoopGoroutines(t)
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -4,6 +4,7 @@
 	"errors"
 	"net"
 	"net/netip"
+	"strings"
 
 	"github.com/lesismal/nbio"
 )
@@ -52,7 +53,8 @@
 		handler: handler,
 		writer:  connWriter{total: loop.unread, isUnixSocket: network == "unix"},
 	}
-	c.reader = connReader{conn: c, queue: loop.queue, read: loop.read}
+	isDatagrams := strings.HasPrefix(network, "udp")
+	c.reader = connReader{conn: c, queue: loop.queue, read: loop.read, isDatagrams: isDatagrams}
 	return c
 }
 
@@ -157,7 +159,6 @@
 
 // receive passes received data to the handler.
 func (c *Conn) receive(data []byte) {
-	c.reader.recordHandled()
 	if c.handler == nil || c.state.closed {
 		return
 	}
--- a/internal/eventloop/counters.go
+++ b/internal/eventloop/counters.go
@@ -36,6 +36,7 @@
 type Counters struct {
 	Turns       uint64
 	LongestTurn time.Duration // since the last call of Loop.Counters
+	LongestWait time.Duration // of a client's data for its handler, since the last call of Loop.Counters
 	PollerCalls uint64        // calls of the poller for a readable socket
 	Closes      [closeCauses]CloseCount
 }
@@ -57,10 +58,12 @@
 	return responseDue
 }
 
-// Counters returns the counters and resets LongestTurn.
+// Counters returns the counters and resets LongestTurn and LongestWait.
 func (l *Loop) Counters() Counters {
 	counters := l.counters
 	counters.PollerCalls = l.poller.calls.Load()
+	counters.LongestWait = l.rotation.longestWait
 	l.counters.LongestTurn = 0
+	l.rotation.longestWait = 0
 	return counters
 }
--- a/internal/eventloop/doc.go
+++ b/internal/eventloop/doc.go
@@ -4,8 +4,14 @@
 //
 // nbio runs one goroutine that polls all connections for readiness, and one goroutine for each listener. Their
 // callbacks only queue events. The goroutine in [Loop.Run] handles the queued events in turns. In each turn, it passes
-// each event to the handler of its connection and then calls the turn function once. Then it writes the bytes that the
-// handlers and the function have queued, with one gathered write for each connection.
+// each event to the handler of its connection, then the data of accepted connections in rotation, a slot each, and then
+// calls the turn function once. Then it writes the bytes that the handlers and the function have queued, with one
+// gathered write for each connection.
+//
+// Data of dialed connections is an event. Data of accepted connections waits in an inbox for each connection, so that a
+// client that sends without a pause delays only itself. While its inbox is full, a connection is not read. Polling is
+// edge-triggered, because the poller would otherwise report such a connection without end; the loop reads it on once it
+// has handled the inbox. The end of a connection is an event, so it is handled before the data that its client left.
 //
 // Each dial has its own goroutine, which lives at most as long as the dial's timeout.
 //
@@ -22,7 +28,8 @@
 //
 // The state is divided by concern, and each type names its owner:
 //
-//   - queue passes events to the loop.
+//   - queue passes events to the loop, and clientQueue the data of accepted connections.
+//   - rotation shares the loop among the accepted connections that have data.
 //   - connReader and connWriter read and write one connection.
 //   - acceptedClients holds the accepted connections, and admission limits their number.
 //   - dialer opens connections.
@@ -34,8 +41,10 @@
 //
 // Everything that a peer can make grow has a limit:
 //
-//   - Bytes queued for the loop. Beyond the limit, the poller waits for the next turn, and the kernel's windows slow
-//     the peers down.
+//   - Bytes of dialed connections that are queued for the loop. Beyond the limit, the poller waits for the next turn,
+//     and the kernel's windows slow the peers down.
+//   - Bytes in the inbox of an accepted connection, and in all inboxes. Beyond a limit, the poller reads no more of
+//     them, and the loop does it in rotation.
 //   - Accepted connections that the loop has not handled yet. Beyond a small number, listeners stop accepting.
 //   - Accepted connections. Beyond the limit, an idle connection is closed to free its slot. If there is none, the new
 //     connection is closed.
--- a/internal/eventloop/helpers_test.go
+++ b/internal/eventloop/helpers_test.go
@@ -68,7 +68,8 @@
 
 func (r *countingHandler) Data(b []byte) { r.received.Add(int64(len(b))) }
 
-// oneByteQueue configures a loop whose poller waits while more than one byte is queued.
+// oneByteQueue configures a loop whose poller waits while more than one byte of dialed connections is queued, and reads
+// no accepted connection while more than one byte of them is.
 func oneByteQueue(maxAccepted int) Config {
 	return Config{MaxAccepted: maxAccepted, MaxDescriptors: 256, MaxQueuedBytes: 1, MaxUnreadBytes: 32 << 20}
 }
@@ -168,7 +169,31 @@
 func awaitQueuedBytes(l *Loop, size int) {
 	for queued := 0; queued < size; time.Sleep(time.Millisecond) {
 		l.queue.mu.Lock()
-		queued = l.queue.bytes
+		queued = l.queue.bytes + int(l.queue.clients.bytes.Load())
 		l.queue.mu.Unlock()
 	}
 }
+
+// fillQueue blocks the poller of a loop with oneByteQueue, which must be blocked too: of three bytes that peers of
+// dialed connections have written, the third has no room. What else is written is unread until the loop goes on.
+func fillQueue(t *testing.T, l *Loop, peers []net.Conn) {
+	t.Helper()
+	for _, peer := range peers {
+		if _, err := peer.Write([]byte("x")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	awaitQueuedBytes(l, 2)
+	time.Sleep(5 * time.Millisecond) // the poller goes on to the third byte
+}
+
+// dialPeers has a loop dial three listeners of the test, and returns the listeners' ends of the connections.
+func dialPeers(t *testing.T, l *Loop) (peers []net.Conn) {
+	t.Helper()
+	for range 3 {
+		recorder := newDialRecorder()
+		_, peer := dialPeer(t, l, "tcp", "127.0.0.1:0", recorder, recorder.opened)
+		peers = append(peers, peer)
+	}
+	return peers
+}
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -36,6 +36,7 @@
 	// Owned by the goroutine that calls Run.
 	turnTimes
 	clients  *acceptedClients
+	rotation rotation
 	flushes  flushList
 	counters Counters
 	stopped  bool
@@ -71,6 +72,7 @@
 		},
 		clients: newAcceptedClients(logger),
 	}
+	l.rotation = rotation{loop: l, buffer: make([]byte, readBufferSize)}
 	l.idleCloser = &idleCloser{queue: queue, closeIdle: l.closeIdleClient, loopClosed: ctx}
 	l.admission = &admission{limit: int64(cfg.MaxAccepted), idleCloser: l.idleCloser}
 	l.listeners = newListeners(l, logger)
@@ -130,26 +132,29 @@
 }
 
 // Run handles events until Stop is called. In each turn, it calls startTurn with the time of the turn, then the
-// handlers of the queued events, and then turn. turn returns the latest time at which it wants to be called again. Run
-// blocks, and the goroutine that calls it becomes the loop's.
+// handlers of the queued events, then those of the accepted connections that have data, in rotation, and then turn.
+// turn returns the latest time at which it wants to be called again. Run blocks, and the goroutine that calls it
+// becomes the loop's.
 func (l *Loop) Run(startTurn func(now time.Duration), turn func(now time.Duration) time.Duration) {
 	timer := time.NewTimer(0)
 	defer timer.Stop()
-	var spare []event
+	var spare batch
 	l.now = l.clock.now()
 	for !l.stopped {
 		select {
 		case <-l.queue.wake:
 		case <-timer.C:
 		}
-		batch, now := l.queue.take(spare[:0])
+		taken, now := l.queue.take(spare)
 		l.stall.recordTurn(l.now, now)
 		l.now = now
 		l.arrivedAt = now
 		l.profile.begin(now)
 		startTurn(now)
-		l.dispatch(batch)
-		spare = batch
+		l.dispatch(taken.events)
+		l.rotation.run(taken.ready)
+		l.profile.end(dataPart)
+		spare = taken
 		next := turn(now)
 		l.flushes.flush()
 		l.profile.end(writePart)
@@ -220,6 +225,9 @@
 // connectionClosed handles a report by the poller that a connection was closed, by the peer or by this program.
 func (l *Loop) connectionClosed(c *Conn, err error) {
 	l.clients.remove(c)
+	if c.isAccepted {
+		l.queue.discardClientData(c)
+	}
 	if !c.connectionClosed() {
 		return
 	}
--- a/internal/eventloop/poller.go
+++ b/internal/eventloop/poller.go
@@ -35,6 +35,7 @@
 	newBarrier     func() (*pollerBarrier, error)
 	barrier        *pollerBarrier // nil until start, and on systems without Unix sockets
 	buffer         []byte         // read buffer; owned by the polling goroutine
+	unfinished     []*nbio.Conn   // sockets with more data than one call reads; owned by the polling goroutine
 
 	calls atomic.Uint64 // number of calls of socketReadable
 
@@ -89,6 +90,7 @@
 		Addrs:              listeners.addrs(),
 		NPoller:            1,
 		MaxWriteBufferSize: maxUnreadPerPeer,
+		EpollMod:           nbio.EPOLLET, // a connection that is left unread must not be reported again and again
 		Listen:             listeners.open,
 	})
 	engine.OnOpen(listeners.connectionOpened)
@@ -126,9 +128,33 @@
 	p.registrations.Load()
 	switch session := socket.Session().(type) {
 	case *Conn:
-		session.reader.readAvailable(socket, p.buffer)
+		p.readAvailable(socket, session)
 	case *pollerBarrier:
 		session.handle(p.buffer)
+		p.readUnfinished()
+	}
+}
+
+// readAvailable reads a connection. If there is more than one call reads, the polling goroutine goes on after it has
+// handled the other events that it holds.
+func (p *poller) readAvailable(socket *nbio.Conn, c *Conn) {
+	for c.reader.readAvailable(socket, p.buffer) {
+		if p.barrier != nil {
+			p.unfinished = append(p.unfinished, socket)
+			if len(p.unfinished) == 1 {
+				_ = p.barrier.signal() // fails only once the socket is closed, together with the loop
+			}
+			return
+		}
+	}
+}
+
+// readUnfinished goes on with the connections that had more data than one call reads.
+func (p *poller) readUnfinished() {
+	unfinished := p.unfinished
+	p.unfinished = nil
+	for _, socket := range unfinished {
+		p.readAvailable(socket, socket.Session().(*Conn))
 	}
 }
 
--- a/internal/eventloop/poller_calls_test.go
+++ b/internal/eventloop/poller_calls_test.go
@@ -30,7 +30,7 @@
 	}
 }
 
-// Polling is level-triggered. No state that lasts may make nbio call the poller again and again.
+// No state that lasts may make nbio call the poller again and again.
 func TestPollerDoesNotSpin(t *testing.T) {
 	for _, test := range []struct {
 		name    string
@@ -54,7 +54,14 @@
 			client.Close()
 			return func() {}
 		}},
-		{"a full queue", func(_ *testing.T, l *Loop, _ *Conn, client net.Conn) func() {
+		{"a full queue", func(t *testing.T, l *Loop, _ *Conn, client net.Conn) func() {
+			peers := dialPeers(t, l)
+			release := blockLoop(l)
+			fillQueue(t, l, peers)
+			client.Write([]byte("x"))
+			return release
+		}},
+		{"a connection that is left unread", func(_ *testing.T, l *Loop, _ *Conn, client net.Conn) func() {
 			release := blockLoop(l)
 			for range 3 {
 				client.Write([]byte("x"))
--- a/internal/eventloop/poller_turns.go
+++ b/internal/eventloop/poller_turns.go
@@ -63,14 +63,14 @@
 	return mustSignal
 }
 
-// signal makes the polling goroutine call handle. It does not block, because at most two bytes are ever unread.
+// signal makes the polling goroutine call handle. It does not block, because at most a few bytes are ever unread.
 func (p *pollerBarrier) signal() error {
 	_, err := p.peer.Write([]byte{0})
 	return err
 }
 
-// handle is called on the polling goroutine when the socket is readable. It reads everything: polling is
-// level-triggered, so unread bytes would make the poller call handle again and again.
+// handle is called on the polling goroutine when the socket is readable. It reads everything, so that the next byte is
+// reported again.
 func (p *pollerBarrier) handle(buffer []byte) {
 	_, _ = p.socket.Read(buffer) // after an error the poller calls handle again, or closes the socket
 	if p.advance() {
--- a/internal/eventloop/queue.go
+++ b/internal/eventloop/queue.go
@@ -38,11 +38,12 @@
 // a poller or a listener that waits slows the peers down.
 func (e *event) mayBlock() bool { return e.kind == dataReceived || e.kind == connectionAccepted }
 
-// queue passes events from many goroutines to the loop's goroutine, in the order in which they were pushed. It is safe
-// for concurrent use. A goroutine that holds a reader's mu may lock mu, but takes no other lock while it holds mu.
+// queue passes events from many goroutines to the loop's goroutine, in the order in which they were pushed. Data of
+// accepted connections is not among them: it waits in clients, so that no event waits for what clients send. queue is
+// safe for concurrent use. A goroutine that holds a reader's mu may lock mu, but takes no other lock while it holds mu.
 type queue struct {
 	clock    func() time.Duration
-	maxBytes int           // limit on queued data; beyond it the poller waits
+	maxBytes int           // limit on the data in events; beyond it the poller waits
 	wake     chan struct{} // holds one value when something is queued
 
 	// Guarded by mu.
@@ -52,11 +53,13 @@
 	bytes             int // of the data in events
 	queuedConnections int // accepted connections in events
 	closed            bool
+	clients           clientQueue
 }
 
 // newQueue returns an empty queue that takes the times of turns from clock.
 func newQueue(clock func() time.Duration, maxBytes int) *queue {
 	q := &queue{clock: clock, maxBytes: maxBytes, wake: make(chan struct{}, 1)}
+	q.clients.maxBytes = maxBytes
 	q.notFull = sync.NewCond(&q.mu)
 	return q
 }
@@ -75,14 +78,6 @@
 	return queued
 }
 
-// pushNonblocking queues an event without blocking. The loop's goroutine uses it for data, because waiting would block
-// the turn that empties the queue.
-func (q *queue) pushNonblocking(e event) bool {
-	q.mu.Lock()
-	defer q.mu.Unlock()
-	return q.add(e)
-}
-
 // add queues an event and wakes the loop, or returns false once the queue is closed. The caller must hold mu.
 func (q *queue) add(e event) bool {
 	if q.closed {
@@ -93,11 +88,16 @@
 	}
 	q.events = append(q.events, e)
 	q.bytes += len(e.data)
+	q.wakeLoop()
+	return true
+}
+
+// wakeLoop makes the loop take another turn. Any goroutine may call it.
+func (q *queue) wakeLoop() {
 	select {
 	case q.wake <- struct{}{}:
 	default:
 	}
-	return true
 }
 
 // isFull reports whether an event of a kind has to wait. The caller must hold mu.
@@ -108,18 +108,25 @@
 	return q.bytes > q.maxBytes
 }
 
-// take returns the queued events and wakes the goroutines that wait. The queue stores the next events in spare, which
-// must be empty. take also returns the current time, which becomes the time of the turn. No data in the batch was read
-// after that time.
-func (q *queue) take(spare []event) (batch []event, now time.Duration) {
+// batch is what the loop handles in a turn.
+type batch struct {
+	events []event
+	ready  []*Conn // accepted connections that have data since the last batch
+}
+
+// take returns the queued events and the accepted connections that have data, and wakes the goroutines that wait. The
+// queue stores the next ones in the slices of spare. take also returns the current time, which becomes the time of the
+// turn. No data in the events was read after that time, and each ready connection was accepted by an earlier event.
+func (q *queue) take(spare batch) (taken batch, now time.Duration) {
 	q.mu.Lock()
 	defer q.mu.Unlock()
-	batch = q.events
-	q.events = spare
+	taken = batch{events: q.events, ready: q.clients.ready}
+	q.events = spare.events[:0]
+	q.clients.ready = spare.ready[:0]
 	q.bytes = 0
 	q.queuedConnections = 0
 	q.notFull.Broadcast()
-	return batch, q.clock()
+	return taken, q.clock()
 }
 
 // close makes the queue drop further events, and wakes the goroutines that wait.
--- a/internal/eventloop/queue_test.go
+++ b/internal/eventloop/queue_test.go
@@ -20,8 +20,8 @@
 	}
 	turns, most := 0, 0
 	for open := true; open; turns++ { // each turn takes what is queued, and as many new events are queued
-		batch, _ := l.queue.take(nil)
-		most = max(most, len(batch))
+		taken, _ := l.queue.take(batch{})
+		most = max(most, len(taken.events))
 		_, open = <-pushed
 	}
 	if most > maxQueuedConnections || turns < 2 {
--- a/internal/eventloop/reader_test.go
+++ b/internal/eventloop/reader_test.go
@@ -47,13 +47,9 @@
 	c, peer := dialPeer(t, l, "tcp", "127.0.0.1:0", r, r.opened)
 	peer.(*net.TCPConn).SetWriteBuffer(4 << 20)
 	c.socket.SetReadBuffer(4 << 20)
+	peers := dialPeers(t, l)
 	release := blockLoop(l)
-	client := dial(t, l)
-	for range 3 { // the poller blocks on the third byte
-		client.Write([]byte("x"))
-		time.Sleep(5 * time.Millisecond)
-	}
-	awaitQueuedBytes(l, 2)
+	fillQueue(t, l, peers)
 	peer.SetWriteDeadline(time.Now().Add(300 * time.Millisecond)) // as much as the kernel accepts
 	size, _ := peer.Write(make([]byte, 3<<20))
 	peer.(*net.TCPConn).CloseWrite()
@@ -72,11 +68,9 @@
 	r := &countingHandler{dialRecorder: newDialRecorder()}
 	c, peer := dialPeer(t, l, "tcp", "127.0.0.1:0", r, r.opened)
 	peer.(*net.TCPConn).SetWriteBuffer(1 << 20)
+	peers := dialPeers(t, l)
 	release := blockLoop(l, func() { c.socket.SetReadBuffer(1 << 20) }) // as large as the kernel lets it grow on a busy connection
-	for range 3 {                                                       // the poller blocks on the third byte, because the queue is full
-		dial(t, l).Write([]byte("x"))
-	}
-	awaitQueuedBytes(l, 2)
+	fillQueue(t, l, peers)
 	const size = 10 * (16<<10 + 100) // ten responses
 	if _, err := peer.Write(make([]byte, size)); err != nil {
 		t.Fatal(err)
@@ -92,19 +86,27 @@
 
 // Reading is not stopped while the poller reads, nor before the loop has handled all data that was read.
 func TestReaderStopsOnceItIsDrained(t *testing.T) {
-	r := &newAcceptedConn(New(Config{}), nil, nil).reader
+	c := newAcceptedConn(New(Config{MaxQueuedBytes: 1 << 20}), nil, nil)
+	r := &c.reader
 	closes := 0
 	stop := func() bool { return r.stopIfDrained(nil, nil, func() { closes++ }) }
 	r.mu.Lock()
 	if stop() {
 		t.Error("stopped while the poller reads")
 	}
-	e := r.newEvent([]byte("x"))
+	r.push([]byte("x"))
 	r.mu.Unlock()
 	if stop() {
 		t.Error("stopped before the loop had handled a read")
 	}
-	e.conn.receive(e.data)
+	if read, _ := r.queue.takeClientData(c, slotBytes); string(read.data) != "x" {
+		t.Errorf("%q was read", read.data)
+	}
+	r.queue.pause(c)
+	if stop() {
+		t.Error("stopped while there may be more data")
+	}
+	r.queue.resume(c)
 	if !stop() || !r.stopped || closes != 1 {
 		t.Errorf("stopped: %v, closed %d times", r.stopped, closes)
 	}
--- a/internal/server/counters.go
+++ b/internal/server/counters.go
@@ -93,6 +93,7 @@
 	logCounterLine(s.logger,
 		slog.Uint64("turns", counters.Turns),
 		slog.Int64("longest_turn_us", counters.LongestTurn.Microseconds()),
+		slog.Int64("longest_wait_us", counters.LongestWait.Microseconds()),
 		slog.Uint64("poller_calls", counters.PollerCalls))
 	for cause, count := range counters.Closes {
 		if count.Connections == 0 {
