Bound what requests in part and remembered ids take together

Cause: an incomplete request was bounded for one connection, not over all of them (341 connections hold 7 to 11 MB whatever the limit is). Connections to workers remembered 2,048 ids each. The bounds that follow from memory_mb were in proportion to the whole limit and did not fit it together with the program: 41.2 MB at 32 MB.

Change: the memory of incomplete requests is counted over all connections and bounded; the one that has been arriving for longest is closed, those on which a response is due last (ended_by=memory). A slot goes on to the end of a large message, so that the rotation leaves no crowd of incomplete ones. Bounds are in proportion to the memory less 16 MB for the program.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -43,11 +43,10 @@
 	return c.Limits.MaxDescriptors - c.MaxClientConnections() - reserved
 }
 
-// ScaleToMemory scales a bound in bytes, which is meant for a memory limit of referenceMemoryMB, down to a lower limit.
-// The bounds on the data buffered for clients and workers add up to 80 MiB of those 192 MB, and keep that proportion at
-// any lower limit.
-func (c *Config) ScaleToMemory(bytes int) int {
-	return bytes * min(c.Limits.MemoryMB, referenceMemoryMB) / referenceMemoryMB
+// ScaleToMemory scales a bound, which is meant for a memory limit of referenceMemoryMB, down to a lower limit. The
+// program's own memory is left out of both limits, so that all bounds together fit into what is left.
+func (c *Config) ScaleToMemory(bound int) int {
+	return min(bound, c.shareOfMemory(bound))
 }
 
 // shareOfMemory scales a bound, which is meant for a memory limit of referenceMemoryMB, to the actual limit. The
--- a/internal/eventloop/bench_test.go
+++ b/internal/eventloop/bench_test.go
@@ -15,6 +15,7 @@
 func (p *splitEcho) Data(data []byte)                       { p.conn.Write(data[:1], data[1:]) }
 func (p *splitEcho) Closed(error)                           {}
 func (p *splitEcho) Busy() bool                             { return false }
+func (p *splitEcho) Buffered() int                          { return 0 }
 func (p *splitEcho) Messages() (complete int, partial bool) { return 1, false }
 
 // BenchmarkRoundTrip sends a message over loopback and waits until it is echoed.
--- a/internal/eventloop/clients.go
+++ b/internal/eventloop/clients.go
@@ -20,6 +20,7 @@
 	readBuffer []byte        // for the read before an idle connection is closed
 	isClosing  bool          // closeAll was called: each connection is closed once it is idle
 	sweptAt    time.Duration // time of the last sweep
+	partial    partialMessages
 	rejections rejectionLog
 	lost       lostLog
 }
@@ -47,7 +48,10 @@
 }
 
 // remove removes a closed connection. It does nothing for connections that are not in the set.
-func (a *acceptedClients) remove(c *Conn) { delete(a.conns, c) }
+func (a *acceptedClients) remove(c *Conn) {
+	a.partial.record(c, 0)
+	delete(a.conns, c)
+}
 
 // unwrittenBytes returns the number of bytes for clients that the kernel has not accepted yet.
 func (a *acceptedClients) unwrittenBytes() (sum int) {
--- a/internal/eventloop/conn.go
+++ b/internal/eventloop/conn.go
@@ -19,8 +19,10 @@
 	handler    Handler    // of an accepted connection: nil until the loop has handled its accept
 	state      connState
 	activity   clientActivity // of an accepted connection
-	reader     connReader
-	writer     connWriter
+
+	partialBytes int // memory of an accepted connection's incomplete message; owned by partialMessages
+	reader       connReader
+	writer       connWriter
 }
 
 // connState is the state of a connection. The loop's goroutine owns it.
@@ -166,12 +168,13 @@
 	c.recordMessages()
 }
 
-// recordMessages records how many messages an accepted connection has sent.
+// recordMessages records how many messages an accepted connection has sent, and how much memory the next one takes.
 func (c *Conn) recordMessages() {
 	handler, ok := c.handler.(AcceptedHandler)
 	if ok {
 		messages, partial := handler.Messages()
 		c.activity.recordMessages(c.loop.now, messages, partial)
+		c.loop.clients.recordPartial(c, handler.Buffered())
 	}
 }
 
--- a/internal/eventloop/counters.go
+++ b/internal/eventloop/counters.go
@@ -13,12 +13,13 @@
 	ClosedForTimeout                     // it was idle for too long, or its peer read or wrote too slowly
 	ClosedForShutdown                    // it was idle after CloseClients
 	ClosedAfterFailure                   // a write failed, or all peers together left too many bytes unread
+	ClosedForMemory                      // its incomplete message was the oldest, and all of them took too much memory
 	closeCauses
 )
 
 // String returns the cause as it is logged.
 func (c CloseCause) String() string {
-	names := [closeCauses]string{"peer", "handler", "room", "timeout", "shutdown", "failure"}
+	names := [closeCauses]string{"peer", "handler", "room", "timeout", "shutdown", "failure", "memory"}
 	if c >= closeCauses {
 		return "unknown"
 	}
--- a/internal/eventloop/example_test.go
+++ b/internal/eventloop/example_test.go
@@ -16,8 +16,10 @@
 	e.conn.Write([]byte("echo: "), data)
 	e.conn.CloseAfterFlush()
 }
-func (e *echo) Closed(error)                           {}
-func (e *echo) Busy() bool                             { return false }
+func (e *echo) Closed(error)  {}
+func (e *echo) Busy() bool    { return false }
+func (e *echo) Buffered() int { return 0 }
+
 func (e *echo) Messages() (complete int, partial bool) { return 0, false }
 
 // A server that echoes what its clients send.
--- a/internal/eventloop/handler.go
+++ b/internal/eventloop/handler.go
@@ -16,6 +16,8 @@
 	Busy() bool
 	// Messages returns the number of complete messages that have arrived, and whether another has arrived in part.
 	Messages() (complete int, partial bool)
+	// Buffered returns the bytes of memory that the handler keeps for data that it could not handle yet.
+	Buffered() int
 }
 
 // DialHandler is the handler of a connection that this program opens.
--- a/internal/eventloop/helpers_test.go
+++ b/internal/eventloop/helpers_test.go
@@ -14,6 +14,7 @@
 	busy     bool
 	complete int
 	partial  bool
+	buffered int
 	closed   chan error
 }
 
@@ -47,6 +48,7 @@
 func (e *echoHandler) Closed(err error)      { e.closed <- err }
 func (e *echoHandler) Busy() bool            { return e.busy }
 func (e *echoHandler) Messages() (int, bool) { return e.complete, e.partial }
+func (e *echoHandler) Buffered() int         { return e.buffered }
 
 // dialRecorder is the handler of a dialed connection that reports the results of the dial and of the connection.
 type dialRecorder struct{ opened, closed chan error }
--- a/internal/eventloop/loop.go
+++ b/internal/eventloop/loop.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"context"
 	"log/slog"
+	"math"
 	"time"
 )
 
@@ -14,6 +15,10 @@
 	MaxQueuedBytes int // bytes queued for the loop; beyond them the poller waits
 	MaxUnreadBytes int // bytes that all peers together may leave unread
 
+	// MaxPartialBytes limits the memory of messages that have arrived in part, of all accepted connections together; 0:
+	// no limit. Beyond it, the connections whose messages have been arriving for longest are closed.
+	MaxPartialBytes int
+
 	Logger *slog.Logger // nil: slog.Default()
 }
 
@@ -72,6 +77,7 @@
 		},
 		clients: newAcceptedClients(logger),
 	}
+	l.clients.partial.max = cmp.Or(cfg.MaxPartialBytes, math.MaxInt)
 	l.rotation = rotation{loop: l, buffer: make([]byte, readBufferSize)}
 	l.idleCloser = &idleCloser{queue: queue, closeIdle: l.closeIdleClient, loopClosed: ctx}
 	l.admission = &admission{limit: int64(cfg.MaxAccepted), idleCloser: l.idleCloser}
--- a/internal/eventloop/rotation.go
+++ b/internal/eventloop/rotation.go
@@ -12,6 +12,9 @@
 	// turnBytes is how much data of accepted connections a turn handles. The rest waits until the events that came
 	// meanwhile, such as responses of workers, have been handled.
 	turnBytes = readBufferSize
+	// largePartialBytes is how large an incomplete message must be for its connection's slot to go on to its end.
+	// Otherwise, when many clients send large messages, all of them would be incomplete at the same time.
+	largePartialBytes = 1 << 10
 	// minBacklogSlots is how many connections of the backlog a turn handles even if others use up its budget.
 	minBacklogSlots = 2
 )
@@ -57,15 +60,19 @@
 	return first
 }
 
-// handle passes up to a slot of a connection's data to its handler. If there is or may be more, the connection goes to
-// the end of the backlog.
+// handle passes up to a slot of a connection's data to its handler, and the rest of a large message. If there is or may
+// be more, the connection goes to the end of the backlog.
 func (r *rotation) handle(c *Conn, slot int) {
-	for slot > 0 {
-		read, more := r.loop.queue.takeClientData(c, slot)
+	for handled := 0; handled < slot || handled < turnBytes && c.partialBytes >= largePartialBytes; {
+		limit := slotBytes
+		if handled < slot {
+			limit = slot - handled
+		}
+		read, more := r.loop.queue.takeClientData(c, limit)
 		if more && len(read.data) == 0 {
-			read, more = c.reader.readPaused(c.socket, r.buffer[:slot])
+			read, more = c.reader.readPaused(c.socket, r.buffer[:limit])
 		}
-		slot -= len(read.data)
+		handled += len(read.data)
 		r.budget -= len(read.data)
 		r.pass(c, read)
 		if !more {
--- a/internal/eventloop/rotation_test.go
+++ b/internal/eventloop/rotation_test.go
@@ -249,3 +249,48 @@
 		}
 	})
 }
+
+// Guards against many clients' large messages that are all incomplete at the same time, because each is handled in
+// slots: a slot goes on to the end of a large message.
+func TestSlotEndsWithALargeMessage(t *testing.T) {
+	const message = 4 * slotBytes
+	l := New(Config{MaxQueuedBytes: 1 << 20})
+	var conns []*Conn
+	for range 3 {
+		h := &messageHandler{size: message}
+		c := addClient(l, h, clientActivity{})
+		c.isAccepted = true
+		l.queue.pushClientData(c, make([]byte, message))
+		conns = append(conns, c)
+	}
+	taken, _ := l.queue.take(batch{})
+	ready := taken.ready
+	for range conns { // in each turn at least one message is handled
+		l.rotation.run(ready)
+		ready = nil
+		for i, c := range conns {
+			if h := c.handler.(*messageHandler); h.buffered != 0 {
+				t.Errorf("connection %d has %d bytes of an incomplete message", i, h.buffered)
+			}
+		}
+	}
+	for i, c := range conns {
+		if h := c.handler.(*messageHandler); h.complete != 1 {
+			t.Errorf("connection %d has %d complete messages, want 1", i, h.complete)
+		}
+	}
+}
+
+// messageHandler receives messages of one size.
+type messageHandler struct {
+	echoHandler
+	size int
+}
+
+// Data counts messages.
+func (m *messageHandler) Data(b []byte) {
+	m.buffered += len(b)
+	m.complete += m.buffered / m.size
+	m.buffered %= m.size
+	m.partial = m.buffered > 0
+}
--- a/internal/framing/framing.go
+++ b/internal/framing/framing.go
@@ -61,5 +61,8 @@
 // Len returns the number of buffered bytes of an incomplete message.
 func (b *Buffer) Len() int { return len(b.partial) }
 
+// Cap returns the number of bytes of memory that the buffer takes.
+func (b *Buffer) Cap() int { return cap(b.partial) }
+
 // Reset empties the buffer and releases its memory.
 func (b *Buffer) Reset() { b.partial = nil }
--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -23,10 +23,14 @@
 const (
 	maxQueuedBytes         = 8 << 20  // read from peers and queued for the event loop
 	maxUnreadBytes         = 32 << 20 // written and not yet read by peers
+	maxPartialBytes        = 16 << 20 // requests that have arrived in part
 	maxRequestBytes        = 24 << 20 // bodies of open requests
 	maxWebhookOutcomeBytes = 16 << 20 // outcomes that are kept for redeliveries by webhook senders
 )
 
+// maxRememberedIDs is how many ids of requests all connections to workers remember together, at the same memory limit.
+const maxRememberedIDs = 256 << 10
+
 // New builds a server from the configuration. It opens no socket. The server calls reread at each reload.
 func New(cfg *config.Config, options Options, reread func() (*config.Config, error)) (*Server, error) {
 	scheduler, err := policy.New(cfg.Policy, cfg.SeedValue)
@@ -66,7 +70,9 @@
 		MaxDescriptors: cfg.Limits.MaxDescriptors,
 		MaxQueuedBytes: cfg.ScaleToMemory(maxQueuedBytes),
 		MaxUnreadBytes: cfg.ScaleToMemory(maxUnreadBytes),
-		Logger:         logger,
+
+		MaxPartialBytes: cfg.ScaleToMemory(maxPartialBytes),
+		Logger:          logger,
 	})
 }
 
@@ -105,6 +111,7 @@
 		SlowestObjective:         slowestObjective(cfg.Policy.Classes),
 		MaxRequestsPerConnection: limits.MaxRequestsPerConnection,
 		MaxConnections:           cfg.MaxWorkerConnections(),
+		MaxRememberedIDs:         cfg.ScaleToMemory(maxRememberedIDs),
 		CancelSupported:          cfg.Policy.CancelSupported,
 		HealthChecksAllowed:      cfg.Policy.HealthCheckSupported,
 		Seed:                     cfg.SeedValue,
--- a/internal/thrift/connection.go
+++ b/internal/thrift/connection.go
@@ -42,6 +42,9 @@
 	return c.messageCount, c.partial.Len() > 0
 }
 
+// Buffered returns the bytes of memory that the incomplete frame takes.
+func (c *connection) Buffered() int { return c.partial.Cap() }
+
 // Data handles received bytes. A frame may be split over any number of calls.
 func (c *connection) Data(b []byte) {
 	if c.closed {
--- a/internal/webhook/connection.go
+++ b/internal/webhook/connection.go
@@ -41,6 +41,9 @@
 	return c.requestCount, c.closed || c.partialRequest != nil || len(c.buffer) > 0
 }
 
+// Buffered returns the bytes of memory that the requests which are not handled yet take.
+func (c *connection) Buffered() int { return cap(c.buffer) }
+
 // Data handles received bytes. A request may be split over several calls at any byte.
 func (c *connection) Data(b []byte) {
 	if c.closed {
--- a/internal/workerclient/command_queue_test.go
+++ b/internal/workerclient/command_queue_test.go
@@ -157,3 +157,47 @@
 		t.Errorf("the oldest request was sent at %v, found %v", sentAt, found)
 	}
 }
+
+// Guards against memory that grows with the connections to workers: all of them together remember a limited number of
+// ids, and one that has reached its part is replaced.
+func TestConnectionsShareTheBudgetOfRememberedIDs(t *testing.T) {
+	const total = 1000
+	const betweenMaintenance = 50 // requests; the budget is divided anew at each maintenance
+	p := newTestPool(func(cfg *Config) {
+		cfg.MaxRememberedIDs = total
+		cfg.MaxRequestsPerConnection = 32
+	})
+	for id := policy.WorkerID(1); id <= 3; id++ {
+		p.SetWorker(id, tcp4(fmt.Sprintf("127.0.0.1:%d", id)), policy.Ready)
+	}
+	peak := 0
+	for i := range 20 * total {
+		w := policy.WorkerID(1 + i%3)
+		a := router.Attempt{Request: policy.RequestID(i)}
+		before := len(p.transports)
+		p.StartAttempt(w, a, newRequest(fmt.Sprintf("%016x", i)), time.Second)
+		for _, transport := range p.transports[before:] {
+			transport.handler.DialCompleted(nil)
+		}
+		p.CancelAttempt(w, a)
+		if i%betweenMaintenance == 0 {
+			p.Maintain(p.now + MaintenanceInterval/100)
+			for _, transport := range p.transports {
+				if transport.Closed && transport.handler != nil {
+					transport.handler.Closed(nil)
+					transport.handler = nil
+				}
+			}
+		}
+		remembered := 0
+		for _, w := range p.workers {
+			for _, c := range w.connections {
+				remembered += len(c.commands.recentIDs.current) + len(c.commands.recentIDs.previous)
+			}
+		}
+		peak = max(peak, remembered)
+	}
+	if limit := total + betweenMaintenance; peak > limit || peak < total/2 {
+		t.Errorf("%d ids are remembered together, want at most %d", peak, limit)
+	}
+}
--- a/internal/workerclient/connection.go
+++ b/internal/workerclient/connection.go
@@ -53,6 +53,7 @@
 
 func newConnection(w *worker, race *endpoint.DialRace) *connection {
 	c := &connection{pool: w.pool, worker: w, commands: newCommandQueue(), lastUsed: w.pool.now}
+	c.commands.recentIDs.budget = &w.pool.idBudget
 	c.dialer = dialer{connection: c, race: race}
 	return c
 }
--- a/internal/workerclient/pool.go
+++ b/internal/workerclient/pool.go
@@ -45,6 +45,7 @@
 	SlowestObjective         time.Duration // the slowest latency objective of all classes
 	MaxRequestsPerConnection int           // requests in flight on one connection
 	MaxConnections           int           // to all workers together
+	MaxRememberedIDs         int           // ids of requests, on all connections together; 0: no limit
 	CancelSupported          bool          // STOP may be sent
 	HealthChecksAllowed      bool          // NOOP and INFO may be sent
 	Seed                     uint64        // randomizes the backoff of addresses that failed
@@ -68,6 +69,7 @@
 	attempts        map[router.Attempt]*command // in flight, including queued ones
 	pingSequence    uint64                      // number of the latest keepalive ping
 	silence         silenceEstimate
+	idBudget        idBudget
 	dialsInProgress int
 	newProcesses    []*worker // workers whose process was replaced since the last RetainWorkers
 	ignoredFields   ignoredFieldLog
@@ -85,6 +87,7 @@
 		results:       results,
 		workers:       map[policy.WorkerID]*worker{},
 		attempts:      map[router.Attempt]*command{},
+		idBudget:      idBudget{total: cfg.MaxRememberedIDs},
 		silence:       silenceEstimate{peak: cfg.SlowestObjective},
 		ignoredFields: ignoredFieldLog{logger: logger},
 	}
@@ -143,11 +146,14 @@
 // that may have run.
 func (p *Pool) Maintain(now time.Duration) {
 	p.SetNow(now)
+	connections := 0
 	for _, w := range p.workersInOrder {
 		w.maintain()
+		connections += len(w.connections)
 		if w.state == policy.Gone && len(w.connections) == 0 {
 			delete(p.workers, w.id)
 		}
 	}
 	p.workersInOrder = slices.DeleteFunc(p.workersInOrder, func(w *worker) bool { return p.workers[w.id] != w })
+	p.idBudget.divide(connections)
 }
