Remember the ids of requests that must not run again

Cause: the core reserved an id for as long as its request was in the table. A client that left ended the attempt at once, as one that may have run, and its id was free while the worker still ran it.

Change: the core remembers ids of requests that may have run, where their class must not repeat, for a minute after their end, and fails a request that comes under one of them. Requests that never left the router, and classes that may run any number of times, are not remembered. The number is bounded by the memory limit; counters show it.

--- a/internal/config/limits.go
+++ b/internal/config/limits.go
@@ -29,6 +29,9 @@
 	maxFunctions = 48 << 10
 	maxReplicas  = 24 << 10
 
+	// maxSpentIDs is how many IDs of requests that must not run again are remembered, at the same memory limit.
+	maxSpentIDs = 32 << 10
+
 	// maxRejectionRetryAfter limits the Retry-After of requests that are rejected for lack of capacity.
 	maxRejectionRetryAfter = time.Second
 )
@@ -67,6 +70,9 @@
 // MaxReplicas returns the limit on the replicas at workers for which estimates are kept.
 func (c *Config) MaxReplicas() int { return c.ScaleToMemory(maxReplicas) }
 
+// MaxSpentIDs returns the limit on the remembered IDs of requests that must not run again.
+func (c *Config) MaxSpentIDs() int { return c.ScaleToMemory(maxSpentIDs) }
+
 // RejectionRetryAfter returns the Retry-After of requests that are rejected for lack of capacity, or 0 if the settings
 // allow none.
 func (c *Config) RejectionRetryAfter() time.Duration {
--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -9,7 +9,7 @@
 		return 0
 	}
 	t.counters.Accepted[r.Front]++
-	if t.table.isTracked(r.ID) {
+	if t.table.isTracked(r.ID) || t.mustRunOnce(r.Class) && t.spent.has(t.timers.now, r.ID) {
 		t.failDuplicate(r)
 		return 0
 	}
@@ -34,8 +34,9 @@
 	t.reject(r)
 }
 
-// failDuplicate fails a request that has the ID of a tracked request. Workers distinguish requests by ID, so they could
-// return the response of one to the other. The core does not know which of the two the client means.
+// failDuplicate fails a request that has the ID of a tracked request, or of one that may have run and must not run
+// again. Workers distinguish requests by ID, so they could return the response of one to the other. The core does not know
+// which of the two the client means.
 func (t *requestTracker) failDuplicate(r Request) {
 	t.counters.Failed[r.Front]++
 	t.respondUntracked(r, CompletionFailed, Response{Status: Failed})
--- a/internal/router/attempts.go
+++ b/internal/router/attempts.go
@@ -45,7 +45,7 @@
 		return
 	}
 	t.timers.remove(attempt.timeout)
-	tracked.completeAttempt(attempt, result.Outcome)
+	tracked.completeAttempt(attempt, result)
 	t.counters.AttemptsByOutcome[result.Outcome]++
 	served := result.Outcome == policy.Served
 	if served && !tracked.completed {
@@ -83,7 +83,7 @@
 	if withdrawn && outcome == policy.TimedOut {
 		outcome = policy.Unreachable
 	}
-	t.attemptCompleted(a, AttemptResult{Outcome: outcome})
+	t.attemptCompleted(a, AttemptResult{Outcome: outcome, Withdrawn: withdrawn})
 }
 
 // withdrawUnsentAttempts completes the attempts of a completed request that have not been sent yet. The module cancels
@@ -97,6 +97,6 @@
 		}
 		// The outcome is policy.Canceled and not policy.NotSent, because the module uses the duration of a canceled
 		// attempt to estimate the delay at its worker.
-		t.attemptCompleted(a, AttemptResult{Outcome: policy.Canceled})
+		t.attemptCompleted(a, AttemptResult{Outcome: policy.Canceled, Withdrawn: true})
 	}
 }
--- a/internal/router/core.go
+++ b/internal/router/core.go
@@ -18,6 +18,7 @@
 	MaxAttempts           int           // attempts of one request; 0 for no limit
 	LoadTimeout           time.Duration // time in which a worker must respond to a load command
 	HealthCheckTimeout    time.Duration // time in which a worker must respond to a health check
+	MaxSpentIDs           int           // remembered IDs of requests that must not run again; 0: no limit
 }
 
 // Config configures a Core.
@@ -26,6 +27,9 @@
 	Limits Limits
 	// Tenants are the tenants' names, in the order of policy.Config.Tenants.
 	Tenants []string
+	// RunOnce tells, by class, whether a request that may have run must not run again under its ID. Requests of
+	// classes beyond its end may.
+	RunOnce []bool
 	// NewWorkerClient returns the client that sends messages to workers. New calls it once, with the core to which the
 	// client reports its results. NewWorkerClient must not call methods of the core.
 	NewWorkerClient func(core *Core) WorkerClient
@@ -65,6 +69,8 @@
 		events:      &c.events,
 		counters:    &c.Counters,
 		table:       newRequestTable(),
+		runOnce:     config.RunOnce,
+		spent:       newSpentIDs(config.Limits.MaxSpentIDs),
 	}
 	c.commands = commandTracker{
 		limits:   config.Limits,
@@ -136,6 +142,12 @@
 // TableCounters returns the counters of the decision module's tables.
 func (c *Core) TableCounters() policy.TableCounters { return c.policy.TableCounters() }
 
+// SpentIDs returns how many IDs are remembered because their requests must not run again, and how many were forgotten
+// because there were too many.
+func (c *Core) SpentIDs() (remembered int, evicted uint64) {
+	return len(c.requests.spent.hashes), c.requests.spent.evicted
+}
+
 // SetEndpoints passes the endpoint list, or a change of it, to the decision module.
 func (c *Core) SetEndpoints(l policy.EndpointList) { c.events.add(l) }
 
--- a/internal/router/requests.go
+++ b/internal/router/requests.go
@@ -19,6 +19,8 @@
 	counters    *Counters
 
 	table     requestTable
+	runOnce   []bool // by class: a request that may have run must not run again under its ID
+	spent     spentIDs
 	rejectNew bool // reject all further requests, because the process is about to exit
 }
 
@@ -80,7 +82,16 @@
 // releaseIfCompleted removes a request and its deadline timer if the request has completed and none of its attempts is
 // in flight.
 func (t *requestTracker) releaseIfCompleted(tracked *trackedRequest) {
-	if t.table.removeIfCompleted(tracked) {
-		t.timers.remove(tracked.deadline)
+	if !t.table.removeIfCompleted(tracked) {
+		return
+	}
+	t.timers.remove(tracked.deadline)
+	if tracked.reachedWorker && t.mustRunOnce(tracked.request.Class) {
+		t.spent.add(t.timers.now, tracked.request.ID)
 	}
 }
+
+// mustRunOnce reports whether a request of a class that may have run must not run again under its ID.
+func (t *requestTracker) mustRunOnce(class int) bool {
+	return class >= 0 && class < len(t.runOnce) && t.runOnce[class]
+}
--- a/internal/router/requesttable.go
+++ b/internal/router/requesttable.go
@@ -21,6 +21,8 @@
 	inFlight   int  // number of attempts that have not completed
 	mayHaveRun bool // an attempt completed without proof that it never ran
 	completed  bool // it got its final response, or its client canceled it
+
+	reachedWorker bool // an attempt that left this router completed without proof that it never ran
 }
 
 // trackedAttempt is the state of one attempt of a tracked request.
@@ -40,11 +42,12 @@
 }
 
 // completeAttempt marks an attempt that is in flight as completed.
-func (r *trackedRequest) completeAttempt(attempt *trackedAttempt, outcome policy.Outcome) {
+func (r *trackedRequest) completeAttempt(attempt *trackedAttempt, result AttemptResult) {
 	attempt.completed = true
 	r.inFlight--
-	if !outcome.NeverRan() {
+	if !result.Outcome.NeverRan() {
 		r.mayHaveRun = true
+		r.reachedWorker = r.reachedWorker || !result.Withdrawn
 	}
 }
 
--- a/internal/router/requesttable_test.go
+++ b/internal/router/requesttable_test.go
@@ -31,7 +31,7 @@
 	}
 
 	_, inFlight := table.attemptInFlight(attempt)
-	tracked.completeAttempt(inFlight, policy.Failed)
+	tracked.completeAttempt(inFlight, AttemptResult{Outcome: policy.Failed})
 	if !tracked.mayHaveRun || !table.removeIfCompleted(tracked) || table.isTracked("a") {
 		t.Error("a request whose attempts have completed stays in the table")
 	}
--- a/internal/router/workerclient.go
+++ b/internal/router/workerclient.go
@@ -44,4 +44,5 @@
 	Concurrency int       // requests of the function that are in flight at the worker
 	Body        []byte    // of the response, if Outcome is policy.Served
 	LoadReport  []float64 // in the order of policy.Config.LoadReportFields; nil if the response had none
+	Withdrawn   bool      // it was given up before it was sent, so it never ran whatever Outcome says
 }
--- a/internal/server/build.go
+++ b/internal/server/build.go
@@ -29,7 +29,7 @@
 )
 
 // maxRememberedIDs is how many ids of requests all connections to workers remember together, at the same memory limit.
-const maxRememberedIDs = 256 << 10
+const maxRememberedIDs = 192 << 10
 
 // New builds a server from the configuration. It opens no socket. The server calls reread at each reload.
 func New(cfg *config.Config, options Options, reread func() (*config.Config, error)) (*Server, error) {
@@ -87,8 +87,10 @@
 			MaxAttempts:           cfg.Policy.MaxAttempts,
 			LoadTimeout:           cfg.Policy.LoadTimeout,
 			HealthCheckTimeout:    healthCheckTimeout,
+			MaxSpentIDs:           cfg.MaxSpentIDs(),
 		},
 		Tenants: cfg.TenantNames(),
+		RunOnce: runOnce(cfg.Policy.Classes),
 		NewWorkerClient: func(core *router.Core) router.WorkerClient {
 			s.workers = newWorkerClient(cfg, s.loop, core, s.logger)
 			return s.workers
@@ -122,6 +124,15 @@
 	}, results)
 }
 
+// runOnce tells, by class, whether a request that may have run must not run again under its ID. Workers drop repeats of
+// a class with idempotency keys within a group and for a time; a repeat may come to another group, or later.
+func runOnce(classes []policy.Class) (byClass []bool) {
+	for _, class := range classes {
+		byClass = append(byClass, class.Idempotency != policy.Idempotent)
+	}
+	return byClass
+}
+
 // slowestObjective returns the longest latency objective of all classes.
 func slowestObjective(classes []policy.Class) time.Duration {
 	slowest := time.Duration(0)
--- a/internal/server/counters.go
+++ b/internal/server/counters.go
@@ -107,14 +107,17 @@
 	}
 }
 
-// logTableCounters logs how full the decision module's tables are.
+// logTableCounters logs how full the tables of the decision module and of the core are.
 func (s *Server) logTableCounters() {
 	counters := s.core.TableCounters()
+	spentIDs, spentIDsEvicted := s.core.SpentIDs()
 	logCounterLine(s.logger,
 		slog.Int("functions", counters.Functions),
 		slog.Uint64("functions_evicted", counters.FunctionsEvicted),
 		slog.Int("replicas", counters.Replicas),
-		slog.Uint64("replicas_evicted", counters.ReplicasEvicted))
+		slog.Uint64("replicas_evicted", counters.ReplicasEvicted),
+		slog.Int("spent_ids", spentIDs),
+		slog.Uint64("spent_ids_evicted", spentIDsEvicted))
 }
 
 // logPoolCounters logs one line for each pool of the routes in force.
--- a/internal/server/memory_bounds_test.go
+++ b/internal/server/memory_bounds_test.go
@@ -12,6 +12,7 @@
 	replicaBytes        = 270
 	trackedRequestBytes = 2 << 10 // in the core and the module, without its body
 	rememberedIDBytes   = 20
+	spentIDBytes        = 40
 	windowEntryBytes    = 16
 
 	trackedPerOpenRequest = 2       // requests in the tables for each that may be open
@@ -31,7 +32,8 @@
 			cfg.MaxFunctions()*functionBytes +
 			cfg.MaxReplicas()*replicaBytes +
 			cfg.MaxConcurrentRequests()*trackedPerOpenRequest*trackedRequestBytes +
-			cfg.ScaleToMemory(maxRememberedIDs)*rememberedIDBytes
+			cfg.ScaleToMemory(maxRememberedIDs)*rememberedIDBytes +
+			cfg.MaxSpentIDs()*spentIDBytes
 		for _, bound := range []int{
 			maxQueuedBytes, // of workers and discovery
 			maxQueuedBytes, // of clients
