--- a/cmd/benchmark/main.go
+++ b/cmd/benchmark/main.go
@@ -17,6 +17,7 @@
 	Core      benchmark.Core      `cmd:"" help:"What a request costs the core and the module, by fleet size."`
 	Load      benchmark.Load      `cmd:"" help:"${load_help}"`
 	Starts    benchmark.Starts    `cmd:"" help:"${starts_help}"`
+	Hostile   benchmark.Hostile   `cmd:"" help:"${hostile_help}"`
 	Config    benchmark.Config    `cmd:"" help:"${config_help}"`
 }
 
@@ -26,7 +27,8 @@
 		"share served, requests that ran twice, late sends, cost.",
 	"load_help": "An open-loop load by Thrift or signed webhooks, corrected for coordinated omission; " +
 		"with --knee, the highest rate that a router keeps up with.",
-	"starts_help": "Many routers started at once while discovery is down: how long until they are ready.",
+	"starts_help":  "Many routers started at once while discovery is down: how long until they are ready.",
+	"hostile_help": "Clients that send without a pause: what usual clients get beside them, and the router's memory.",
 	"config_help": "The routes language and its routing: cost, " +
 		"and a load with a reload each second and the death of a pool.",
 }
--- a/internal/fake/connection.go
+++ b/internal/fake/connection.go
@@ -147,6 +147,10 @@
 	count, _ := strconv.Atoi(fieldValue(fields, fieldCount)) // 0 for an invalid count
 	respond := func(replicas int) { c.respond(tag, responseServed, fmt.Sprintf("count=%d", replicas), "") }
 
+	if !w.knows(function) {
+		c.respond(tag, responseFault, "count=0", "")
+		return
+	}
 	w.mu.Lock()
 	r := w.replica(function)
 	if count > 0 {
--- a/internal/fake/replica.go
+++ b/internal/fake/replica.go
@@ -1,6 +1,9 @@
 package fake
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // replica is a function that is loaded, or being loaded, at a worker. It is guarded by the worker's lock.
 type replica struct {
@@ -19,13 +22,18 @@
 		delete(w.replicas, function)
 		r = nil
 	}
-	if r == nil && w.Warm {
+	if r == nil && w.Warm && w.knows(function) {
 		r = &replica{ready: true, lastUsed: time.Now()}
 		w.replicas[function] = r
 	}
 	return r
 }
 
+// knows reports whether the worker can load a function.
+func (w *Worker) knows(function string) bool {
+	return len(w.Known) == 0 || slices.Contains(w.Known, function)
+}
+
 func (w *Worker) expired(r *replica) bool {
 	return r.ready && r.busy == 0 && w.KeepAlive > 0 && time.Since(r.lastUsed) > w.KeepAlive
 }
--- a/internal/fake/worker.go
+++ b/internal/fake/worker.go
@@ -20,7 +20,8 @@
 	KeepAlive   time.Duration // idle time after which a replica is unloaded; 0 means never
 	Lanes       int           // how many requests a replica executes at a time
 	Queue       int           // how many requests may wait for a lane; further ones are rejected
-	Warm        bool          // every function counts as loaded
+	Warm        bool          // every function that it knows counts as loaded
+	Known       []string      // keys of the functions that it can load; empty: any function
 }
 
 // Worker is a fake worker: its ports accept connections, and each connection has a goroutine that executes its
--- a/internal/router/accept.go
+++ b/internal/router/accept.go
@@ -35,8 +35,8 @@
 }
 
 // failDuplicate fails a request that has the ID of a tracked request, or of one that may have run and must not run
-// again. Workers distinguish requests by ID, so they could return the response of one to the other. The core does not know
-// which of the two the client means.
+// again. Workers distinguish requests by ID, so they could return the response of one to the other. The core does not
+// know which of the two the client means.
 func (t *requestTracker) failDuplicate(r Request) {
 	t.counters.Failed[r.Front]++
 	t.respondUntracked(r, CompletionFailed, Response{Status: Failed})
