Give the fake site a memory limit rather than rewrite its configuration

Form only: the hostile clients' experiment decoded and encoded the configuration to set the router's memory limit. fake.Site has a field for it now, and one processor is chosen by a loop with one assignment a line.

--- a/internal/benchmark/hostile.go
+++ b/internal/benchmark/hostile.go
@@ -1,7 +1,6 @@
 package benchmark
 
 import (
-	"encoding/json"
 	"fmt"
 	"io"
 	"math/rand/v2"
@@ -116,27 +115,10 @@
 }
 
 // startRouter starts the program on one processor, with the experiment's memory limit.
-func (h Hostile) startRouter(bed *fake.Testbed, program string) (*process, error) {
-	listen, err := fake.FreeAddr()
-	if err != nil {
-		return nil, err
-	}
-	var config map[string]any
-	if err := json.Unmarshal(bed.Site.Config(listen), &config); err != nil {
-		return nil, err
-	}
-	config["limits"].(map[string]any)["memory_mb"] = h.MemoryMB
-	text, err := json.Marshal(config)
-	if err != nil {
-		return nil, err
-	}
-	path, err := bed.WriteFile("config.json", text)
-	if err != nil {
-		return nil, err
-	}
-	var router *process
+func (h Hostile) startRouter(bed *fake.Testbed, program string) (router *process, err error) {
+	bed.Site.MemoryMB = h.MemoryMB
 	err = onOneProcessor(func() (err error) {
-		router, err = startRouter(program, listen, "EDGE_CONFIG="+path)
+		router, err = startRouterOn(bed, program)
 		return err
 	})
 	return router, err
--- a/internal/benchmark/processor.go
+++ b/internal/benchmark/processor.go
@@ -29,7 +29,8 @@
 // lastProcessor returns the set of the last processor in a set.
 func lastProcessor(allowed *unix.CPUSet) (one unix.CPUSet) {
 	last := 0
-	for n, left := 0, allowed.Count(); left > 0; n++ {
+	left := allowed.Count()
+	for n := 0; left > 0; n++ {
 		if allowed.IsSet(n) {
 			last = n
 			left--
--- a/internal/fake/platformconfig.go
+++ b/internal/fake/platformconfig.go
@@ -1,11 +1,15 @@
 package fake
 
 import (
+	"cmp"
 	"encoding/json"
 	"fmt"
 	"slices"
 )
 
+// defaultMemoryMB is the memory limit of routers, in MB.
+const defaultMemoryMB = 192
+
 // platformConfig is the configuration that the platform provides to a router. The platform defines the keys; fields are
 // in the alphabetical order of their keys.
 type platformConfig struct {
@@ -135,7 +139,7 @@
 func (s *Site) encodeConfig(listen string, list endpointList) []byte {
 	text, err := json.MarshalIndent(platformConfig{
 		Known:     knownEndpoints{Offset: 1, Batch: []endpointChange{{Offset: 1, Topology: list}}},
-		Limits:    processLimits{Cores: 1, MemoryMB: 192, Sockets: 1024},
+		Limits:    processLimits{Cores: 1, MemoryMB: cmp.Or(s.MemoryMB, defaultMemoryMB), Sockets: 1024},
 		Listen:    listen,
 		Name:      "n1",
 		Discovery: s.Discovery.Addr(),
--- a/internal/fake/site.go
+++ b/internal/fake/site.go
@@ -9,6 +9,7 @@
 type Site struct {
 	Workers   []*Worker
 	Discovery *DiscoveryServer
+	MemoryMB  int // memory limit in configurations; 0: defaultMemoryMB
 }
 
 // NewSite starts workers, and a discovery server that listens on the given address. It passes record to NewWorker.
