Tell full connections from a worker that can't be reached

Cause: a request that finds all ten connections to its worker full ended as unreachable, the outcome of a refused dial. The module ejected the worker at once; the next response ended the ejection, and the worker counted as restarted for 3 s.

Change: a request without a connection because of the router's own limits ends as saturated. It never ran, says nothing of the worker's health, and goes to another worker or is rejected.

Without the mend TestRequestBeyondFullConnectionsIsNotUnreachable fails ("ended as [unreachable]"), and so does TestFullConnectionsDoNotEjectTheirWorker where saturated counts as unreachable ("ejected: true").

--- a/internal/workerclient/command_queue_test.go
+++ b/internal/workerclient/command_queue_test.go
@@ -201,3 +201,25 @@
 		t.Errorf("%d ids are remembered together, want at most %d", peak, limit)
 	}
 }
+
+// Guards against a worker that counts as unreachable because its connections are full: a client that asks for functions
+// nobody knows fills them, and usual clients lost the worker for seconds.
+func TestRequestBeyondFullConnectionsIsNotUnreachable(t *testing.T) {
+	p := newTestPool()
+	perConnection := p.cfg.MaxRequestsPerConnection
+	for i := range maxConnectionsPerWorker*perConnection + 1 {
+		before := len(p.transports)
+		p.StartAttempt(1, router.Attempt{Request: policy.RequestID(i)}, newRequest(fmt.Sprintf("%016x", i)), time.Second)
+		for _, transport := range p.transports[before:] {
+			transport.handler.DialCompleted(nil)
+		}
+	}
+	last := router.Attempt{Request: policy.RequestID(maxConnectionsPerWorker * perConnection)}
+	if got := p.recorder.outcomes[last]; len(got) != 1 || got[0] != policy.Saturated {
+		t.Errorf("the request beyond %d connections ended as %v", maxConnectionsPerWorker, got)
+	}
+	p.StartAttempt(99, attempt, newRequest(requestID), time.Second)
+	if got := p.recorder.outcomes[attempt]; len(got) != 1 || got[0] != policy.Unreachable {
+		t.Errorf("a request to a worker without connections ended as %v", got)
+	}
+}
--- a/policy/events.go
+++ b/policy/events.go
@@ -17,7 +17,7 @@
 // Outcome is the result of an attempt, a health check or a load command.
 type Outcome uint8
 
-// The outcomes. Overloaded, Unreachable, NotSent and NotLoaded prove that the attempt never ran.
+// The outcomes. Overloaded, Unreachable, NotSent, NotLoaded and Saturated prove that the attempt never ran.
 const (
 	Served          Outcome = iota
 	Failed                  // the worker responded with an error
@@ -29,19 +29,20 @@
 	NotSent                 // not sent, or too late for the worker to run it
 	NotLoaded               // the worker has no replica of the function
 	ProcessReplaced         // the worker's process was replaced by another one; it may have run
+	Saturated               // no connection to the worker could take it, because of this router's limits
 
 	OutcomeCount = iota // number of outcomes
 )
 
 // NeverRan reports whether the outcome proves that the attempt never ran.
 func (o Outcome) NeverRan() bool {
-	return o == Overloaded || o == Unreachable || o == NotSent || o == NotLoaded
+	return o == Overloaded || o == Unreachable || o == NotSent || o == NotLoaded || o == Saturated
 }
 
 // String returns the outcome in lower case. Log attributes that count outcomes use these names.
 func (o Outcome) String() string {
 	return nameOf("Outcome", o, "served", "failed", "overloaded", "timed_out", "unreachable",
-		"connection_reset", "canceled", "not_sent", "not_loaded", "process_replaced")
+		"connection_reset", "canceled", "not_sent", "not_loaded", "process_replaced", "saturated")
 }
 
 // LoadStatus is a response's report on whether a replica was loaded when the request arrived at the worker.
--- a/policy/health_checker.go
+++ b/policy/health_checker.go
@@ -46,7 +46,7 @@
 func (h *healthChecker) recordResult(w *worker, e HealthCheckCompleted) {
 	h.outliers.checkCompleted(w)
 	switch e.Outcome {
-	case NotSent: // the cause is local to this router, so the worker's health is unknown
+	case NotSent, Saturated: // the cause is local to this router, so the worker's health is unknown
 	case TimedOut, Unreachable, ConnectionReset:
 		h.recordFailedCheck(w)
 	default:
--- a/policy/workers_test.go
+++ b/policy/workers_test.go
@@ -47,3 +47,22 @@
 		}
 	}
 }
+
+// Guards against a worker that is ejected, and then presumed to have restarted, because this router's own connections to
+// it are full: that says nothing about the worker. The request goes to another one.
+func TestFullConnectionsDoNotEjectTheirWorker(t *testing.T) {
+	h := newHarness(t, config(), 2)
+	id, actions := h.arrive(0, 7)
+	first, _ := first[StartAttempt](actions)
+	actions = h.handle(AttemptCompleted{Request: id, Worker: first.Worker, Outcome: Saturated})
+	w := h.p.workers.get(first.Worker)
+	if h.ejected(w) || w.health.checking || w.health.lastResponse != 0 {
+		t.Errorf("ejected: %v, being checked: %v, responded at %v", h.ejected(w), w.health.checking, w.health.lastResponse)
+	}
+	if second, sent := firstStart(actions); !sent || second.Worker == first.Worker {
+		t.Errorf("the request was not sent to the other worker: %v", actions)
+	}
+}
+
+// firstStart returns the first attempt that actions start.
+func firstStart(actions []Action) (StartAttempt, bool) { return first[StartAttempt](actions) }
