--- a/policy/function_table.go
+++ b/policy/function_table.go
@@ -12,8 +12,8 @@
 	// functionRetention is the time without requests after which a function is removed from the table.
 	functionRetention = 2 * time.Minute
 
-	// maxForgottenPerSweep limits the functions that one sweep removes, so that a sweep takes no longer after a burst
-	// of requests for many functions.
+	// maxForgottenPerSweep limits the functions that one sweep removes, so that a sweep takes no longer
+	// after a burst of requests for many functions.
 	maxForgottenPerSweep = 1000
 
 	// maxLoadTime is the longest load time of a request that is used; a longer one counts as unknown.
@@ -45,11 +45,12 @@
 // recordTimelyResponse records a response within the latency objective.
 func (f *function) recordTimelyResponse() { f.congestion *= regressionRetention }
 
-// functionTable holds the functions that have been requested recently. Any client can name a new function with each
-// request, so the table is bounded: at its limit a new function replaces the one whose last request is the oldest.
+// functionTable holds the functions that have been requested recently. Any client can name a new function
+// with each request, so the table is bounded: at its limit a new function replaces the one whose last
+// request is the oldest.
 //
-// Invariant: a function in use, which an open request names or of which a worker may have a replica, is not replaced.
-// The table exceeds its limit only if all its functions are in use.
+// Invariant: a function in use, which an open request names or of which a worker may have a replica, is
+// not replaced. The table exceeds its limit only if all its functions are in use.
 type functionTable struct {
 	byID        map[FunctionID]*function
 	replicas    *replicaTable
@@ -93,8 +94,8 @@
 	return f
 }
 
-// evict removes the function that was requested least recently and is not in use. Functions in use that it passes
-// become the most recent ones, so that the next call does not pass them again.
+// evict removes the function that was requested least recently and is not in use. Functions in use that it
+// passes become the most recent ones, so that the next call does not pass them again.
 func (t *functionTable) evict() {
 	for range t.leastRecent.Len() {
 		oldest := t.leastRecent.Front()
@@ -116,8 +117,8 @@
 	delete(t.byID, f.id)
 }
 
-// forgetUnused removes functions that are not in use and have not been requested for functionRetention, at most
-// maxForgottenPerSweep of them.
+// forgetUnused removes functions that are not in use and have not been requested for functionRetention, at
+// most maxForgottenPerSweep of them.
 func (t *functionTable) forgetUnused(now time.Duration) {
 	for range min(t.leastRecent.Len(), maxForgottenPerSweep) {
 		oldest := t.leastRecent.Front()
--- a/policy/housekeeping.go
+++ b/policy/housekeeping.go
@@ -45,8 +45,8 @@
 	p.functions.forgetUnused(p.now)
 }
 
-// sweepReplicas removes the entries of a worker's idle replicas whose keep-alive is over. A replica that has been
-// idle for longer than its function's idleLimit is unloaded earlier.
+// sweepReplicas removes the entries of a worker's idle replicas whose keep-alive is over. A replica that
+// has been idle for longer than its function's idleLimit is unloaded earlier.
 func (p *Policy) sweepReplicas(w *worker) {
 	p.maintenance.idleBuffer = p.maintenance.idleBuffer[:0]
 	for id, entry := range w.replicas {
--- a/policy/load_budget.go
+++ b/policy/load_budget.go
@@ -39,7 +39,8 @@
 // bounded reports whether the settings limit load commands by a budget.
 func (b *loadBudget) bounded() bool { return b.cfg.LoadBudgetWindow > 0 }
 
-// allowsCommand reports whether a further load command is within the budget, and can be counted at its own time.
+// allowsCommand reports whether a further load command is within the budget, and can be counted at its own
+// time.
 func (b *loadBudget) allowsCommand(now time.Duration) bool {
 	return !b.bounded() || float64(b.recentCommands(now)+1) <= b.allowance(now) && !b.commands.IsFull()
 }
--- a/policy/replica_table.go
+++ b/policy/replica_table.go
@@ -46,8 +46,8 @@
 // looked up last are marked at their workers, so that scheduling a request over all workers needs no map
 // look-up for each worker.
 //
-// Clients choose the functions, so the table is bounded: at its limit a new entry replaces the one that was used least
-// recently and has nothing in flight.
+// Clients choose the functions, so the table is bounded: at its limit a new entry replaces the one that
+// was used least recently and has nothing in flight.
 //
 // Invariant: the table holds exactly the entries in the maps of the workers.
 type replicaTable struct {
@@ -95,8 +95,9 @@
 // has reports whether a worker may have a replica of a function.
 func (t *replicaTable) has(f FunctionID) bool { return len(t.byFunction[f]) > 0 }
 
-// makeRoom removes an entry if the table is at its limit: the one that was used least recently and is not in use.
-// Entries in use that it passes become the most recent ones, so that the next call does not pass them again.
+// makeRoom removes an entry if the table is at its limit: the one that was used least recently and is not
+// in use. Entries in use that it passes become the most recent ones, so that the next call does not pass
+// them again.
 func (t *replicaTable) makeRoom() {
 	if t.limit <= 0 || t.leastRecent.Len() < t.limit {
 		return
@@ -113,8 +114,8 @@
 	}
 }
 
-// tooManyLoads reports whether so many load commands are in flight that no further one may start. Their entries are in
-// use, and the rest of the table must be left for those of attempts.
+// tooManyLoads reports whether so many load commands are in flight that no further one may start. Their
+// entries are in use, and the rest of the table must be left for those of attempts.
 func (t *replicaTable) tooManyLoads() bool { return t.limit > 0 && t.loads >= t.limit/2 }
 
 // loadStarted records that a load command is in flight.
--- a/policy/table_limits.go
+++ b/policy/table_limits.go
@@ -1,7 +1,8 @@
 package policy
 
-// TableLimits limits the tables that clients can make grow, because they choose the functions that requests name. A
-// limit of 0 means that there is none. Both must be above the number of requests that may be open.
+// TableLimits limits the tables that clients can make grow, because they choose the functions that
+// requests name. A limit of 0 means that there is none. Both must be above the number of requests that may
+// be open.
 type TableLimits struct {
 	Functions int // functions with estimates
 	Replicas  int // replicas at workers with an entry
